Thin path: nodes find one another, take a configuration, and serve requests and lots

Cores found the fleet unanimously and agree on each configuration by Paxos per sequence; fronts serve under majority leases; stores keep write-once records and fenced checkpoints; a seater per model service runs the paper's loop.

Nothing of it is proved under failure yet.

--- /dev/null
+++ b/src/cli/foxdeck.ts
@@ -0,0 +1,11 @@
+#!/usr/bin/env node
+import { defineCommand, runMain } from 'citty';
+import { nodeCommand } from './nodeCommand.js';
+import { operatorCommands } from './operatorCommands.js';
+
+const main = defineCommand({
+  meta: { name: 'foxdeck', version: '0.1.0', description: 'A rollout scheduler for RL trainers.' },
+  subCommands: { node: nodeCommand, ...operatorCommands },
+});
+
+await runMain(main);
--- /dev/null
+++ b/src/shared/configuration.ts
@@ -0,0 +1,175 @@
+import { Result } from 'true-myth';
+import type { Voter } from '../core/paxos.js';
+import type { Reason } from './checked.js';
+
+/** A kind of back end: model samplers are seated by a seater, plain ones are called by any front. */
+export type Service = { readonly kind: 'model' | 'plain'; readonly rollWidth?: number; readonly concurrency?: number };
+
+/** Which requests go to which service. */
+export type Binding = {
+  readonly path: string;
+  readonly methods: ReadonlyArray<string>;
+  readonly service: string;
+  readonly onceOnly?: boolean;
+  readonly timeLeftMs?: number;
+  readonly bodyLimit?: number;
+};
+
+/** The rules that seating goes by. */
+export type SeatingRules = {
+  readonly finishedWeight: number;
+  readonly activeWeight: number;
+  readonly perThousandWeight: number;
+  readonly diversityPenalty: number;
+  readonly reserve: number;
+  readonly starvationMs: number;
+  readonly checkpointMs: number;
+  readonly firstTurnPieces: number;
+  readonly mode: 'ctb' | 'admit-all';
+};
+
+/** The weights that trainers named last for a service. */
+export type Weights = { readonly version: number; readonly step: number };
+
+type Parts = {
+  readonly services?: Readonly<Record<string, Service | null>>;
+  readonly bindings?: Readonly<Record<string, Binding | null>>;
+  readonly weights?: Readonly<Record<string, Weights | null>>;
+  readonly seating?: Partial<SeatingRules>;
+  readonly stores?: ReadonlyArray<string>;
+};
+
+/** A change that is set to be made at a time. */
+export type Move = { readonly startMs: number; readonly latestMs?: number; readonly change: Parts };
+
+/** What an operator hands over. */
+export type Change = Parts & {
+  readonly id: string;
+  readonly expected?: number;
+  readonly whole?: boolean;
+  readonly moves?: Readonly<Record<string, Move | null>>;
+  readonly voters?: { readonly add?: string; readonly remove?: string };
+  readonly settledEpoch?: number;
+};
+
+/** The operator's whole word: the value of one sequence. */
+export type Configuration = {
+  readonly services: Readonly<Record<string, Service>>;
+  readonly bindings: Readonly<Record<string, Binding>>;
+  readonly weights: Readonly<Record<string, Weights>>;
+  readonly seating: SeatingRules;
+  readonly moves: Readonly<Record<string, Move>>;
+  readonly voters: ReadonlyArray<Voter>;
+  /** The voters before, at a sequence that changed them: the next one has to wait a full lease. Empty otherwise. */
+  readonly formerVoters: ReadonlyArray<Voter>;
+  readonly stores: { readonly epoch: number; readonly current: ReadonlyArray<Voter>; readonly previous: ReadonlyArray<Voter> };
+};
+
+/** Disks of nodes that are present now, by node name. */
+export type SeenDisks = { readonly cores: ReadonlyMap<string, string>; readonly stores: ReadonlyMap<string, string> };
+
+const founded = (voters: ReadonlyArray<Voter>): Configuration => ({
+  services: {},
+  bindings: {},
+  weights: {},
+  seating: {
+    finishedWeight: 100, activeWeight: 10, perThousandWeight: 1, diversityPenalty: 5, reserve: 0.1,
+    starvationMs: 5000, checkpointMs: 400, firstTurnPieces: 8, mode: 'ctb',
+  },
+  moves: {},
+  voters,
+  formerVoters: [],
+  stores: { epoch: 0, current: [], previous: [] },
+});
+
+const merged = <T>(before: Readonly<Record<string, T>>, change: Readonly<Record<string, T | null>> | undefined, fresh: boolean): Readonly<Record<string, T>> =>
+  Object.fromEntries(Object.entries({ ...(fresh ? {} : before), ...change }).filter((entry): entry is [string, T] => entry[1] !== null));
+
+const mergeStores = (before: Configuration['stores'], names: ReadonlyArray<string> | undefined, seen: SeenDisks, reasons: Reason[]): Configuration['stores'] => {
+  if (names === undefined) return before;
+  const wanted = [...new Set(names)];
+  if (wanted.length !== names.length) reasons.push({ path: 'stores', message: 'a store is named twice' });
+  const current = wanted.map((name, place) => {
+    const disk = seen.stores.get(name) ?? before.current.find((store) => store.name === name)?.disk;
+    if (disk === undefined) reasons.push({ path: `stores[${place}]`, message: `no store named ${name} is present` });
+    return { name, disk: disk ?? '' };
+  });
+  const unchanged = current.length === before.current.length
+    && current.every((store) => before.current.some((other) => other.name === store.name && other.disk === store.disk));
+  if (unchanged) return before;
+  if (before.previous.length > 0) {
+    reasons.push({ path: 'stores', message: 'a store move is still running; it ends when its sweep is done' });
+    return before;
+  }
+  return { epoch: before.epoch + 1, current, previous: before.current };
+};
+
+const mergeVoters = (before: ReadonlyArray<Voter>, change: Change['voters'], seen: SeenDisks, reasons: Reason[]): ReadonlyArray<Voter> => {
+  if (change?.add !== undefined) {
+    const disk = seen.cores.get(change.add);
+    if (disk === undefined) reasons.push({ path: 'voters.add', message: `no core named ${change.add} is present` });
+    if (before.some((voter) => voter.name === change.add && voter.disk === disk)) reasons.push({ path: 'voters.add', message: `${change.add} votes already` });
+    if (before.some((voter) => voter.name === change.add)) reasons.push({ path: 'voters.add', message: `${change.add} is still a voter under another disk; remove that one first` });
+    return [...before, { name: change.add, disk: disk ?? '' }];
+  }
+  if (change?.remove !== undefined) {
+    const left = before.filter((voter) => voter.name !== change.remove);
+    if (left.length === before.length) reasons.push({ path: 'voters.remove', message: `${change.remove} is no voter` });
+    if (left.length === 0) reasons.push({ path: 'voters.remove', message: 'the last voter cannot go' });
+    return left;
+  }
+  return before;
+};
+
+/** Applies a change to a configuration, whole or not at all. */
+const apply = (before: Configuration, change: Change, seen: SeenDisks): Result<Configuration, ReadonlyArray<Reason>> => {
+  const reasons: Reason[] = [];
+  const fresh = change.whole === true;
+  const services = merged(before.services, change.services, fresh);
+  const bindings = merged(before.bindings, change.bindings, fresh);
+  const weights = merged(before.weights, change.weights, fresh);
+  const voters = mergeVoters(before.voters, change.voters, seen, reasons);
+  const claimed = new Map<string, string>();
+  for (const [name, binding] of Object.entries(bindings)) {
+    if (services[binding.service] === undefined) reasons.push({ path: `bindings.${name}.service`, message: `no service named ${binding.service}` });
+    if (binding.path.startsWith('/foxdeck/') || binding.path === '/foxdeck') reasons.push({ path: `bindings.${name}.path`, message: '/foxdeck is kept for control calls' });
+    for (const method of binding.methods) {
+      const taken = claimed.get(`${method} ${binding.path}`);
+      if (taken !== undefined) reasons.push({ path: `bindings.${name}.path`, message: `${method} ${binding.path} is bound by ${taken} already` });
+      claimed.set(`${method} ${binding.path}`, name);
+    }
+  }
+  for (const [name, value] of Object.entries(weights)) {
+    if (services[name]?.kind !== 'model') reasons.push({ path: `weights.${name}`, message: `no model service named ${name}` });
+    const old = before.weights[name];
+    if (change.weights?.[name] && old && value.version < old.version) {
+      reasons.push({ path: `weights.${name}.version`, message: `is older than ${old.version}, which was named before` });
+    }
+  }
+  if (change.settledEpoch !== undefined && (change.settledEpoch !== before.stores.epoch || before.stores.previous.length === 0)) {
+    reasons.push({ path: 'settledEpoch', message: `no store move of epoch ${change.settledEpoch} is running` });
+  }
+  const next: Configuration = {
+    services, bindings, weights,
+    seating: { ...(fresh ? founded([]).seating : before.seating), ...change.seating },
+    moves: merged(before.moves, change.moves, fresh),
+    voters,
+    formerVoters: change.voters === undefined ? [] : before.voters,
+    stores: change.settledEpoch !== undefined ? { epoch: before.stores.epoch + 1, current: before.stores.current, previous: [] }
+      : mergeStores(before.stores, change.stores, seen, reasons),
+  };
+  return reasons.length > 0 ? Result.err(reasons) : Result.ok(next);
+};
+
+/** The configuration's reducers. */
+export const configuration = {
+  founded,
+  apply,
+  /** The binding for a path: the longest prefix, at a segment's end. */
+  match: (now: Configuration, path: string): ReadonlyArray<readonly [string, Binding]> => {
+    const fits = Object.entries(now.bindings).filter(([, binding]) =>
+      path === binding.path || path.startsWith(binding.path.endsWith('/') ? binding.path : `${binding.path}/`));
+    const longest = Math.max(0, ...fits.map(([, binding]) => binding.path.length));
+    return fits.filter(([, binding]) => binding.path.length === longest);
+  },
+};
