Simulator: the real tasks on a virtual clock, with faults and an oracle

Processes, links, disks and HTTP calls are services, so the nodes and the stand-ins run unchanged in a world with one clock and one seed. The oracle judges only what clients and samplers saw.

--- a/src/dev/standIn.ts
+++ b/src/dev/standIn.ts
@@ -78,12 +78,12 @@
         if (state === 'leaving') saw('after-leaving', { item });
         if (fence < highestFence) {
           saw('old-fence', { item, fence, highestFence });
-          return json(409, { error: 'an older fence' });
         }
-        highestFence = fence;
+        highestFence = Math.max(highestFence, fence);
         if (wanted !== version) return json(409, { error: `version ${version} is loaded` });
         const old = sessions.get(item);
-        if (held && (!old || old.version !== version || old.pieces.length < body.from)) return json(410, { error: 'no prefix held' });
+        if (held && (!old || old.pieces.length < body.from)) return json(410, { error: 'no prefix held' });
+        if (held && old!.version !== version) saw('stale-prefill', { item, from: old!.version, version });
         const prompt = textOf.promptTokens(body.prompt);
         const prior = (body.prior ?? []).map((text) => ({ text, tokens: textOf.tokens(text), version: 0 }));
         const session: Session = held ? old! : { pieces: prior, prompt, version, used: 0, active: 0 };
@@ -129,12 +129,10 @@
         const fence = Number(ask.headers['foxdeck-fence'] ?? 0);
         if (fence < highestFence) {
           saw('old-fence', { item: 'weights', fence, highestFence });
-          return json(409, { error: 'an older fence' });
         }
-        highestFence = fence;
+        highestFence = Math.max(highestFence, fence);
         if (switches.refuseWeights) return json(500, { error: 'can not load' });
         saw('load', { version: wanted, fence });
-        sessions.clear();
         state = 'starting';
         yield* Effect.sleep(options.loadMs);
         version = wanted;
--- a/src/front/ordinary.ts
+++ b/src/front/ordinary.ts
@@ -51,8 +51,8 @@
     });
 
   /** Whether an order to this sampler may still leave: asked at the last moment before it does. */
-  const allowed = (service: string, chosen: Chosen): boolean =>
-    context.leases.inForce() && news.samplers().some((sampler) => sampler.name === chosen.name && sampler.service === service && sampler.state === 'ready' && sampler.address === chosen.address);
+  const allowed = (service: string, chosen: Chosen, ask: HttpAsk): boolean =>
+    context.leases.inForce() && configuration.match(context.register.known()!.configuration, ask.path.split('?')[0]!).some(([, each]) => each.service === service && each.methods.includes(ask.method)) && news.samplers().some((sampler) => sampler.name === chosen.name && sampler.service === service && sampler.state === 'ready' && sampler.address === chosen.address);
 
   const claim = (key: string): Effect.Effect<'mine' | 'another', Fault> => {
     const attempt = Buffer.from(JSON.stringify({ node: context.settings.name, attempt: time.identity() }));
@@ -66,7 +66,7 @@
         burden(chosen.name, -1);
         if (chosen.permit !== undefined) yield* Effect.forkDaemon(Effect.ignore(context.seater(service, 'unseat', { permit: chosen.permit })));
       }));
-      if (!allowed(service, chosen)) return yield* new Fault({ step: 'deliver', cohortMember: chosen.name, reason: 'it may no longer be called' });
+      if (!allowed(service, chosen, ask)) return yield* new Fault({ step: 'deliver', cohortMember: chosen.name, reason: 'it may no longer be called' });
       const headers = { ...passed(ask.headers), 'foxdeck-time-left': String(timeLeft), ...(chosen.permit === undefined ? {} : { 'foxdeck-weight-version': String(chosen.version) }) };
       const reply = yield* Effect.timeoutFail(context.http.call(chosen.address as never, { ...ask, headers }), {
         duration: Duration.millis(timeLeft), onTimeout: () => new Fault({ step: 'deliver', cohortMember: chosen.name, reason: 'its time is up', unknown: true }),
--- /dev/null
+++ b/src/sim/day.ts
@@ -0,0 +1,118 @@
+import { Effect } from 'effect';
+import { deployment, type Deployment } from '../dev/deployment.js';
+import type { Settings } from '../shared/settings.js';
+import { makeClients, type Seen } from './clients.js';
+import { makeFaults, type FaultKind } from './faults.js';
+import { judge, type Final, type Violation } from './oracle.js';
+import { startSimFleet, type SimFleet } from './simFleet.js';
+import { makeWorld, type World } from './world.js';
+
+/** What a simulated day came to. */
+export type Day = {
+  readonly seed: number;
+  readonly violations: ReadonlyArray<Violation>;
+  readonly checked: Readonly<Record<string, number>>;
+  readonly faults: Readonly<Record<string, number>>;
+  readonly history: ReadonlyArray<string>;
+  readonly seen: ReadonlyArray<Seen>;
+  readonly fleet: SimFleet;
+  readonly world: World;
+};
+
+/** How a day is laid out. */
+export type DayOptions = {
+  readonly seed: number;
+  readonly given: Deployment;
+  readonly workMs: number;
+  readonly settleMs: number;
+  readonly meanFaultMs: number;
+  readonly only?: ReadonlyArray<FaultKind>;
+  readonly lastFault?: boolean;
+  readonly settings?: Partial<Settings>;
+  /** Called once the fleet serves, for what a test brings about itself. */
+  readonly script?: (world: World, fleet: SimFleet) => void;
+};
+
+const bootMs = 40_000;
+
+/** Runs a day: boot, work under faults, a last fault, rest, and a read of all that was acknowledged. */
+export const runDay = (options: DayOptions): Day => {
+  const world = makeWorld(options.seed);
+  const given: Deployment = { ...options.given, samplers: [...options.given.samplers, { service: 'other', kind: 'plain', count: 2, budget: 0, pieceMs: 10, loadMs: 0 }] };
+  const fleet = startSimFleet(world, given, options.settings);
+  const seen: Seen[] = [];
+  let stopAt = Infinity;
+  const clients = makeClients(world, fleet, seen, () => stopAt);
+  const violations: Violation[] = [];
+
+  let booted = false;
+  fleet.client('founder', Effect.gen(function* () {
+    const document = { ...deployment.change(given), services: { ...given.change.services, other: { kind: 'plain' } } };
+    while (!booted) {
+      yield* Effect.sleep(500);
+      const told = yield* clients.change(document);
+      booted = told.status === 200;
+    }
+  }));
+  while (!booted && world.now() < bootMs) world.runUntil(world.now() + 250);
+  if (!booted) violations.push({ rule: 'a fresh fleet comes to serve', what: 'the first configuration was not taken' });
+
+  const from = world.now() + 500;
+  stopAt = from + options.workMs;
+  for (const name of ['operator-a', 'operator-b']) fleet.client(name, clients.operator(name));
+  for (const name of ['caller-a', 'caller-b', 'caller-c']) fleet.client(name, clients.ordinary(name));
+  for (const name of ['trainer-a', 'trainer-b']) fleet.client(name, clients.trainer(name));
+  fleet.client('followers', clients.followers);
+  fleet.client('sequences', clients.sequences);
+  options.script?.(world, fleet);
+  const faults = makeFaults(world, fleet, { from, until: stopAt, meanMs: options.meanFaultMs, ...(options.only ? { only: options.only } : {}) });
+  world.runUntil(stopAt);
+  faults.heal();
+  if (options.lastFault !== false) {
+    for (const machine of fleet.machines.values()) {
+      if (machine.role !== 'core' && machine.role !== 'store') continue;
+      machine.process.kill();
+      machine.disk.losePower();
+      world.after(world.between(100, 2000), machine.start);
+    }
+    faults.history.push(`${(world.now() / 1000).toFixed(3)} last fault: every disk loses its power`);
+  }
+  world.runUntil(stopAt + options.settleMs);
+
+  let final: Final | undefined;
+  fleet.client('reader', Effect.gen(function* () {
+    const insist = (path: string) => Effect.gen(function* () {
+      for (let tries = 0; ; tries += 1) {
+        const told = yield* clients.ask(clients.front(), 'GET', path);
+        if ((told.status !== 503 && told.status !== 0 && told.status !== 504) || tries > 20) return told;
+        yield* Effect.sleep(500);
+      }
+    });
+    const shown = yield* insist('/foxdeck/configuration');
+    const sequence = (shown.body['sequence'] as number | undefined) ?? 0;
+    const chain: Array<Final['chain'][number]> = [];
+    for (let place = 1; place <= sequence; place += 1) {
+      const told = yield* insist(`/foxdeck/configuration?sequence=${place}`);
+      chain.push(told.body as unknown as Final['chain'][number]);
+    }
+    const lots = new Map<string, Final['lots'] extends ReadonlyMap<string, infer V> ? V : never>();
+    for (const told of seen.filter((each) => each.kind === 'lot-told' && each['status'] === 201)) {
+      const id = told['id'] as string;
+      const shownLot = yield* insist(`/foxdeck/lots/${id}`);
+      const items = new Map<string, Record<string, unknown>>();
+      for (const item of (shownLot.body['items'] ?? []) as ReadonlyArray<{ group: number; item: number }>) {
+        items.set(`${item.group}/${item.item}`, (yield* insist(`/foxdeck/lots/${id}/items/${item.group}/${item.item}`)).body);
+      }
+      lots.set(id, { status: shownLot.status, state: String(shownLot.body['state']), items });
+    }
+    final = { chain, sequence, lots };
+  }));
+  const readUntil = world.now() + 120_000;
+  while (final === undefined && world.now() < readUntil) world.runUntil(world.now() + 500);
+  if (!final) violations.push({ rule: 'what was acknowledged can be read', what: 'the last read did not end' });
+  const judged = final ? judge(seen, fleet.sights, final) : { violations: [], checked: {} };
+  return {
+    seed: options.seed, violations: [...violations, ...judged.violations], checked: judged.checked,
+    faults: Object.fromEntries(faults.counts), history: faults.history, seen, fleet, world,
+  };
+};
