Seater: no result without a confirmed end, idle cache fades, store moves can end

A failed end is now checkpointed as final first, as a whole text is. - a sampler's cached leftovers of finished texts counted as a burden for good, so that after a seater's change nothing fitted any more and lots stayed open. Ruled out: stores unreachable, leases lost (the traces show both in order when the lots stood still).

--- a/src/front/lotBook.ts
+++ b/src/front/lotBook.ts
@@ -6,7 +6,7 @@
 import { lot, type ItemResult, type Lot, type Rating, type TextPiece } from './lot.js';
 
 /** What a checkpoint tells besides the text. */
-export type SavedPlace = { readonly final: boolean; readonly sampler: string | undefined; readonly incarnation: number; readonly version: number; readonly promptTokens: number };
+export type SavedPlace = { readonly final: boolean; readonly failure?: string; readonly sampler: string | undefined; readonly incarnation: number; readonly version: number; readonly promptTokens: number };
 
 /** A lot as the stores have it. */
 export type FoundLot = {
--- a/src/front/seater.ts
+++ b/src/front/seater.ts
@@ -11,7 +11,7 @@
 import { seaterState, type GrowingText, type SeaterState } from './seaterState.js';
 import { rollWeights } from './rollWeights.js';
 
-type Growing = GrowingText & { stretch: number; promptTokens: number };
+type Growing = GrowingText & { stretch: number; promptTokens: number; failure: string | undefined };
 type Explained = { readonly at: number; readonly kind: string; readonly cause: string; readonly sampler: string; readonly figures: Readonly<Record<string, number>> };
 
 /** The one node that orders a model service's samplers, for as long as it holds that duty. */
@@ -41,7 +41,7 @@
   const trainer = () => register.known()?.configuration.weights[service] ?? { version: 0, step: 0 };
   const samplers = (): ReadonlyArray<Announcement> => context.news.samplers().filter((sampler) => sampler.service === service);
   const textOf = (key: string): Growing => {
-    const known = texts.get(key) ?? { pieces: [], confirmed: 0, saved: 0, final: false, stretch: 0, promptTokens: 0 };
+    const known = texts.get(key) ?? { pieces: [], confirmed: 0, saved: 0, final: false, stretch: 0, promptTokens: 0, failure: undefined };
     texts.set(key, known);
     return known;
   };
@@ -65,7 +65,7 @@
         const checkpoints = saved.map(({ key, text, count, final }) => {
           const item = state.get().items.get(key);
           const version = text.pieces.at(-1)?.version ?? 0;
-          return book.checkpoint(duty, token, key, text.pieces.slice(0, count), { final, sampler: item?.sampler, incarnation: item?.holderIncarnation ?? 0, version, promptTokens: text.promptTokens });
+          return book.checkpoint(duty, token, key, text.pieces.slice(0, count), { final, failure: text.failure, sampler: item?.sampler, incarnation: item?.holderIncarnation ?? 0, version, promptTokens: text.promptTokens });
         });
         yield* archive.put(id, duty, checkpoints);
         if (!held()) return yield* new Fault({ step: 'checkpoint', reason: 'the duty is no longer held' });
@@ -106,7 +106,7 @@
       const text = textOf(key);
       text.stretch += 1;
       const mine = text.stretch;
-      if (text.final) return yield* complete(key);
+      if (text.final) return yield* text.failure === undefined ? complete(key) : giveUp(key, text.failure);
       const measure = (): void => {
         if (text.stretch !== mine) return;
         if (!state.get().probes.has(item.group) && text.pieces.length >= rules().firstTurnPieces) probed();
@@ -216,10 +216,16 @@
       });
     });
 
+  /** Ends an item with a reason; like a whole text, what it came to stands on a majority before the result is written. */
   const giveUp = (key: string, reason: string): Effect.Effect<void, Fault> =>
-    Effect.suspend(() => {
+    Effect.gen(function* () {
       const text = textOf(key);
-      return Effect.zipRight(flush(key), finish(key, { state: 'failed', reason, pieces: text.pieces.slice(0, text.confirmed) }));
+      if (text.final && text.failure === undefined) return yield* complete(key);
+      text.stretch += 1;
+      text.final = true;
+      text.failure = reason;
+      yield* flush(key);
+      yield* finish(key, { state: 'failed', reason, pieces: [...text.pieces] });
     });
 
   /** Ends items that no sampler can ever take any more. */
@@ -228,9 +234,13 @@
       const live = samplers().filter((sampler) => sampler.state === 'ready');
       const budget = Math.max(0, ...live.map((sampler) => sampler.budget));
       for (const item of state.get().items.values()) {
-        if (item.state === 'done' || item.state === 'active' || live.length === 0) continue;
+        if (item.state === 'done' || item.state === 'active') continue;
+        if (texts.get(item.key)?.final) {
+          yield* Effect.ignore(giveUp(item.key, texts.get(item.key)?.failure ?? ''));
+          continue;
+        }
         const target = trainer().version;
-        const gone = item.singleVersion && item.generated > 0 && item.version < target && live.every((sampler) => sampler.version > item.version);
+        const gone = live.length > 0 && item.singleVersion && item.generated > 0 && item.version < target && live.every((sampler) => sampler.version > item.version);
         if (gone) yield* Effect.ignore(giveUp(item.key, `version ${item.version} can no longer be had`));
         else if (budget > 0 && item.promptTokens + item.generated > budget) yield* Effect.ignore(giveUp(item.key, `its ${item.promptTokens + item.generated} tokens are over the largest budget of ${budget}`));
       }
@@ -245,7 +255,7 @@
       const found = yield* book.load(id, duty, token);
       if (!found || found.lot.service !== service || state.get().lots.has(id)) return;
       for (const [key, { pieces, place }] of found.texts) {
-        texts.set(key, { pieces: [...pieces], confirmed: pieces.length, saved: pieces.length + (place.final ? 1 : 0), final: place.final, stretch: 0, promptTokens: place.promptTokens });
+        texts.set(key, { pieces: [...pieces], confirmed: pieces.length, saved: pieces.length + (place.final ? 1 : 0), final: place.final, stretch: 0, promptTokens: place.promptTokens, failure: place.failure });
       }
       state.swap((before) => {
         const items = new Map(before.items);
--- a/src/front/seaterState.ts
+++ b/src/front/seaterState.ts
@@ -32,6 +32,8 @@
   /** The range of what the seater thought was cached there, of late; late reports are held against it. */
   readonly window: ReadonlyArray<{ readonly at: number; readonly cached: number }>;
   readonly unexplained: number;
+  /** What the last report showed beyond the known items; while it stands still it is idle cache. */
+  readonly idle: number;
   readonly heard: number;
 };
 
@@ -46,7 +48,7 @@
 };
 
 const lateMs = 2500;
-const note: SamplerNote = { loading: false, evacuateAt: Infinity, setAside: undefined, failedAt: -Infinity, window: [], unexplained: 0, heard: 0 };
+const note: SamplerNote = { loading: false, evacuateAt: Infinity, setAside: undefined, failedAt: -Infinity, window: [], unexplained: 0, idle: 0, heard: 0 };
 
 const noteOf = (state: SeaterState, sampler: string): SamplerNote => state.notes.get(sampler) ?? note;
 
@@ -65,7 +67,10 @@
   [...state.items.values()].filter((item) => item.sampler === sampler.name && item.holderIncarnation === sampler.incarnation && item.state !== 'waiting')
     .reduce((sum, item) => sum + item.promptTokens + item.generated, 0);
 
-/** Holds a late `kvUsed` against what was thought to be cached: more is a burden of others', less is a silent eviction. */
+/**
+ * Holds a late `kvUsed` against what was thought to be cached. Less is a silent eviction. More is a burden while it grows;
+ * once it stands still it is the idle cache of finished texts, which the sampler gives up by itself, so it fades.
+ */
 const reconcile = (state: SeaterState, sampler: Announcement, now: number): SeaterState => {
   const before = noteOf(state, sampler.name);
   const cached = cachedOn(state, sampler) + interactiveOn(state, sampler.name, now);
@@ -73,8 +78,9 @@
   if (before.heard === sampler.sequence) return withNote(state, sampler.name, { window });
   const most = Math.max(...window.map((each) => each.cached));
   const least = Math.min(...window.map((each) => each.cached));
-  const unexplained = Math.max(0, sampler.kvUsed - most);
-  const next = withNote(state, sampler.name, { window, unexplained, heard: sampler.sequence });
+  const excess = Math.max(0, sampler.kvUsed - most);
+  const unexplained = Math.floor(before.unexplained * 0.7) + Math.max(0, excess - before.idle);
+  const next = withNote(state, sampler.name, { window, unexplained, idle: excess, heard: sampler.sequence });
   let missing = least - sampler.kvUsed;
   if (missing <= 0) return next;
   const paused = [...next.items.values()].filter((item) => item.state === 'paused' && item.sampler === sampler.name && now - item.pausedAt > lateMs)
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -2,6 +2,7 @@
 import { Effect, FiberMap, type Scope } from 'effect';
 import { makeFace } from '../front/face.js';
 import { makeSeater, type Seater } from '../front/seater.js';
+import { paxos } from '../core/paxos.js';
 import { openRecords } from '../core/records.js';
 import { makeRegister } from '../core/register.js';
 import { makeVoter, type Voter } from '../core/voter.js';
@@ -235,8 +236,8 @@
       if (moving) yield* Effect.sleep(settings.leaseMs);
       const swept = yield* sweepStores(context, () => leases.duty('sweep') === token, moving ? 2 : 5);
       lastSweep.swap((before) => ({ swept, clean: swept.left === 0 && swept.mended === 0 && swept.silent.length === 0 ? new Date(time.wall()).toISOString() : before.clean }));
-      if (swept.mended > 0 || swept.left > 0) log.event('swept', { records: swept.records, mended: swept.mended, left: swept.left, silent: swept.silent.join(',') });
-      const absent = swept.silent.filter((name) => stores.current.some((store) => store.name === name));
+      if (swept.mended > 0 || swept.left > 0) log.event('swept', { records: swept.records, mended: swept.mended, left: swept.left, silent: swept.silent.map((store) => store.name).join(',') });
+      const absent = swept.silent.filter((silent) => stores.current.some((store) => paxos.same(store, silent)));
       if (moving && swept.left === 0 && swept.mended === 0 && absent.length === 0 && register.known()?.configuration.stores.epoch === swept.epoch) {
         const outcome = yield* register.change(Buffer.from(JSON.stringify({ id: `stores-settled/${swept.epoch}`, settledEpoch: swept.epoch })));
         log.event('stores_settled', { epoch: swept.epoch, outcome: outcome.state });
--- a/src/node/sweep.ts
+++ b/src/node/sweep.ts
@@ -5,7 +5,7 @@
 import type { NodeContext } from './nodeContext.js';
 
 /** What one pass over the stores found and mended. */
-export type Swept = { readonly records: number; readonly mended: number; readonly left: number; readonly silent: ReadonlyArray<string>; readonly epoch: number };
+export type Swept = { readonly records: number; readonly mended: number; readonly left: number; readonly silent: ReadonlyArray<Voter>; readonly epoch: number };
 
 /** One pass: every record is brought to each replica that lacks it; what can't be is counted as left. */
 export const sweepStores = (context: NodeContext, held: () => boolean, pauseMs: number): Effect.Effect<Swept, Fault> =>
@@ -14,13 +14,13 @@
     const set = register.known()?.configuration.stores;
     if (!set || set.current.length === 0) return yield* new Fault({ step: 'sweep', reason: 'no store set is configured' });
     const all = paxos.everyone({ groups: [set.current, set.previous] });
-    const silent: string[] = [];
+    const silent: Voter[] = [];
     const idOf = (store: Voter): string => `${store.name} ${store.disk}`;
     const listings = new Map<string, ReadonlySet<string>>();
     for (const store of all) {
       const keys = yield* Effect.either(archive.keysOf(store, '', true));
       if (keys._tag === 'Right') listings.set(idOf(store), new Set(keys.right));
-      else silent.push(store.name);
+      else silent.push(store);
     }
     const everyKey = [...new Set([...listings.values()].flatMap((keys) => [...keys]))].sort();
     let mended = 0;
--- a/src/sim/world.ts
+++ b/src/sim/world.ts
@@ -75,6 +75,7 @@
   };
 };
 
+const instantMost = 200_000;
 const epoch = 1_800_000_000_000;
 
 /** Makes a world from a seed. */
@@ -85,6 +86,7 @@
   let now = 0;
   let order = 0;
   let steps = 0;
+  let lastEntered = '';
 
   const after = (ms: number, run: () => void): (() => void) => {
     let wanted = true;
@@ -97,7 +99,9 @@
     };
   };
   const drain = (): void => {
+    const before = steps;
     while (ready.length > 0) {
+      if (steps - before > instantMost) throw new Error(`a livelock at ${now}: ${steps - before} steps in one instant, the last of ${lastEntered}`);
       const tasks = ready;
       ready = [];
       for (const task of tasks) {
@@ -117,6 +121,7 @@
       if (!alive) return;
       if (frozenSince !== undefined) heldTasks.push(run);
       else ready.push(() => {
+        lastEntered = name;
         if (alive && frozenSince === undefined) run();
         else if (alive) heldTasks.push(run);
       });
