Paxos: a ballot of its own for each proposal, also of one node

A ballot's proposer now carries a draw of its own.

Seating, found by the new model test: a resumed item was fitted by its own footprint, but then counted at its group's probe, which could put a sampler over its budget at once. It keeps its own count now.

--- a/src/core/paxos.ts
+++ b/src/core/paxos.ts
@@ -58,12 +58,13 @@
   Effect.gen(function* () {
     const { electorate, ballots } = options;
     const voters = everyone(electorate);
+    const proposer = `${options.proposer}~${Math.floor(options.chance() * 2 ** 48).toString(36)}`;
     let round = 0;
     let sent = false;
     let last = 'no quorum';
     for (let attempt = 0; attempt < (options.attempts ?? 6); attempt += 1) {
       if (attempt > 0) yield* Effect.sleep(20 + options.chance() * 60 * 2 ** attempt);
-      const ballot = create(BallotSchema, { round: round + 1, proposer: options.proposer });
+      const ballot = create(BallotSchema, { round: round + 1, proposer });
       const promises = yield* gather(voters, (voter) => ballots.prepare(voter, ballot), (answers) =>
         answers.some(({ answer }) => answer.chosen) || quorum(electorate, granted(answers).map(({ member }) => member)));
       const known = promises.answers.find(({ answer }) => answer.chosen)?.answer;
--- a/src/front/seater.ts
+++ b/src/front/seater.ts
@@ -205,7 +205,7 @@
         } else {
           state.swap((before) => seaterState.withItem(before, decision.item, {
             state: 'active', sampler: sampler.name, holderIncarnation: sampler.incarnation, holderVersion: sampler.version,
-            promptTokens: Math.max(before.items.get(decision.item)?.promptTokens ?? 0, (decision.figures['footprint'] ?? 0) - (before.items.get(decision.item)?.generated ?? 0)),
+            ...(decision.kind === 'admit' ? { promptTokens: decision.figures['footprint']! } : {}),
           }));
           yield* FiberMap.run(fibers, decision.item, stretch(decision.item, sampler, decision));
         }
--- a/src/front/seating.ts
+++ b/src/front/seating.ts
@@ -114,7 +114,7 @@
   ...seating,
   items: new Map(seating.items).set(item.key, {
     ...item, state: 'active', sampler: sampler.name, holderIncarnation: sampler.incarnation, holderVersion: sampler.version,
-    promptTokens: Math.max(item.promptTokens, expected(seating, item) - item.generated),
+    promptTokens: item.state === 'waiting' ? expected(seating, item) : item.promptTokens,
   }),
 });
 
@@ -178,7 +178,7 @@
     const room = Math.min(lotBudget(rules, sampler) - (used - sampler.interactive), sampler.budget - used);
     const paused = resumable(state, rules, sampler, now);
     const fitting = paused.find((item) => rules.mode === 'admit-all' || footprint(item) <= room);
-    const figures = (item: SeatedItem) => ({ used, room, budget: sampler.budget, footprint: expected(state, item), priority: priority(state, rules, item) });
+    const figures = (item: SeatedItem) => ({ used, room, budget: sampler.budget, footprint: item.state === 'waiting' ? expected(state, item) : footprint(item), priority: priority(state, rules, item) });
     if (fitting) {
       const held = holds(fitting, sampler);
       decisions.push({ kind: 'resume', item: fitting.key, sampler: sampler.name, held, cause: held ? 'room on its prefix holder' : 'its prefix is not to be had', figures: figures(fitting) });
--- a/src/sim/day.ts
+++ b/src/sim/day.ts
@@ -4,6 +4,7 @@
 import { makeClients, type Seen } from './clients.js';
 import { makeFaults, type FaultKind } from './faults.js';
 import { judge, type Final, type Violation } from './oracle.js';
+import { readFinal } from './readFinal.js';
 import { startSimFleet, type SimFleet } from './simFleet.js';
 import { makeWorld, type World } from './world.js';
 
@@ -80,32 +81,8 @@
   world.runUntil(stopAt + options.settleMs);
 
   let final: Final | undefined;
-  fleet.client('reader', Effect.gen(function* () {
-    const insist = (path: string) => Effect.gen(function* () {
-      for (let tries = 0; ; tries += 1) {
-        const told = yield* clients.ask(clients.front(), 'GET', path);
-        if ((told.status !== 503 && told.status !== 0 && told.status !== 504) || tries > 20) return told;
-        yield* Effect.sleep(500);
-      }
-    });
-    const shown = yield* insist('/foxdeck/configuration');
-    const sequence = (shown.body['sequence'] as number | undefined) ?? 0;
-    const chain: Array<Final['chain'][number]> = [];
-    for (let place = 1; place <= sequence; place += 1) {
-      const told = yield* insist(`/foxdeck/configuration?sequence=${place}`);
-      chain.push(told.body as unknown as Final['chain'][number]);
-    }
-    const lots = new Map<string, Final['lots'] extends ReadonlyMap<string, infer V> ? V : never>();
-    for (const told of seen.filter((each) => each.kind === 'lot-told' && each['status'] === 201)) {
-      const id = told['id'] as string;
-      const shownLot = yield* insist(`/foxdeck/lots/${id}`);
-      const items = new Map<string, Record<string, unknown>>();
-      for (const item of (shownLot.body['items'] ?? []) as ReadonlyArray<{ group: number; item: number }>) {
-        items.set(`${item.group}/${item.item}`, (yield* insist(`/foxdeck/lots/${id}/items/${item.group}/${item.item}`)).body);
-      }
-      lots.set(id, { status: shownLot.status, state: String(shownLot.body['state']), items });
-    }
-    final = { chain, sequence, lots };
+  fleet.client('reader', Effect.map(readFinal(clients, seen), (read) => {
+    final = read;
   }));
   const readUntil = world.now() + 120_000;
   while (final === undefined && world.now() < readUntil) world.runUntil(world.now() + 500);
