--- a/src/sim/simFleet.ts
+++ b/src/sim/simFleet.ts
@@ -76,11 +76,11 @@
       seeds: [0, 1, 2].map(peerOf), ...(place.role === 'front' ? {} : { data: 'data' }), ...overrides,
     };
     machine.node = yield* startNode(own);
-    yield* Effect.never;
+    yield* Effect.async<never>(() => undefined);
   }))));
   deployment.samplers(given).forEach((sampler, index) => add(sampler.name, 'sampler', sampler.service, `127.0.0.1:${9100 + index}`, (machine) => Effect.scoped(Effect.gen(function* () {
     machine.standIn = yield* startStandIn({ ...sampler, address: `127.0.0.1:${9100 + index}`, fronts, version: sampler.kind === 'model' ? 1 : 0, saw: (sight) => void sights.push({ ...sight, at: world.now() }) });
-    yield* Effect.never;
+    yield* Effect.async<never>(() => undefined);
   }))));
 
   return {
