--- a/src/front/rollWeights.ts
+++ b/src/front/rollWeights.ts
@@ -33,11 +33,22 @@
     const chosen = behind.filter((sampler) => !note(sampler.name).loading && note(sampler.name).setAside === undefined)
       .sort((left, right) => busy(left) - busy(right) || (left.name < right.name ? -1 : 1)).slice(0, free);
     for (const sampler of chosen) {
+      const closing = lastNeeded(state.get(), sampler, live);
+      if (closing !== note(sampler.name).closing) {
+        state.swap((now) => seaterState.withNote(now, sampler.name, { closing }));
+        if (closing) context.log.event('weights_held_back', { sampler: sampler.name, version: target, cause: `begun texts need version ${sampler.version}` });
+      }
+      if (closing) continue;
       state.swap((now) => seaterState.withNote(now, sampler.name, { loading: true, evacuateAt: context.time.held() + graceMs }));
       yield* Effect.forkDaemon(load(options, sampler, target));
     }
   });
 
+/** Whether this is the last open sampler of a version that a begun text of a single version still needs. */
+const lastNeeded = (state: SeaterState, sampler: Announcement, live: ReadonlyArray<Announcement>): boolean =>
+  !live.some((other) => other.name !== sampler.name && other.state === 'ready' && other.version === sampler.version && !seaterState.noteOf(state, other.name).loading)
+  && [...state.items.values()].some((item) => item.singleVersion && item.generated > 0 && item.state !== 'done' && item.version === sampler.version);
+
 const activeOn = (state: SeaterState, sampler: Announcement) => [...state.items.values()].filter((item) => item.state === 'active' && item.sampler === sampler.name);
 
 /** Loads one sampler: lets what runs there finish, orders the load, and waits until it announces the version. */
--- a/src/front/seater.ts
+++ b/src/front/seater.ts
@@ -153,7 +153,7 @@
   const fitsNow = (item: SeatedItem, sampler: Announcement): boolean => {
     const now = samplers().find((each) => each.name === sampler.name);
     return now !== undefined && now.incarnation === sampler.incarnation && now.state === 'ready' && now.version === sampler.version
-      && !seaterState.noteOf(state.get(), sampler.name).loading && seating.versionFits(item, { ...now, ready: true, loading: false, interactive: 0, unexplained: 0 });
+      && !seaterState.noteOf(state.get(), sampler.name).loading && seating.versionFits(item, { ...now, ready: true, loading: false, closing: false, interactive: 0, unexplained: 0 });
   };
 
   const explain = (decision: Decision): void => {
--- a/src/front/seaterState.ts
+++ b/src/front/seaterState.ts
@@ -25,6 +25,8 @@
 /** What is known of a sampler beyond its announcement. */
 export type SamplerNote = {
   readonly loading: boolean;
+  /** Held back from loading, as the last one with a version that begun texts need. */
+  readonly closing: boolean;
   /** From when on, before a load, items that may go on elsewhere are taken off. */
   readonly evacuateAt: number;
   readonly setAside: string | undefined;
@@ -48,7 +50,7 @@
 };
 
 const lateMs = 2500;
-const note: SamplerNote = { loading: false, evacuateAt: Infinity, setAside: undefined, failedAt: -Infinity, window: [], unexplained: 0, idle: 0, heard: 0 };
+const note: SamplerNote = { loading: false, closing: false, evacuateAt: Infinity, setAside: undefined, failedAt: -Infinity, window: [], unexplained: 0, idle: 0, heard: 0 };
 
 const noteOf = (state: SeaterState, sampler: string): SamplerNote => state.notes.get(sampler) ?? note;
 
@@ -120,7 +122,7 @@
       const known = noteOf(state, sampler.name);
       return [sampler.name, {
         name: sampler.name, incarnation: sampler.incarnation, budget: sampler.budget, version: sampler.version,
-        ready: sampler.state === 'ready' && now - known.failedAt > 1000, loading: known.loading || known.setAside !== undefined,
+        ready: sampler.state === 'ready' && now - known.failedAt > 1000, loading: known.loading || known.setAside !== undefined, closing: known.closing,
         interactive: interactiveOn(state, sampler.name, now), unexplained: known.unexplained,
       }];
     })),
--- a/src/front/seating.ts
+++ b/src/front/seating.ts
@@ -32,6 +32,8 @@
   readonly version: number;
   readonly ready: boolean;
   readonly loading: boolean;
+  /** Kept on its version only for texts of a single version that were begun on it. */
+  readonly closing: boolean;
   /** Tokens of interactive requests that run on it. */
   readonly interactive: number;
   /** Tokens that the sampler reports and no known item explains. */
@@ -144,6 +146,7 @@
   [...seating.items.values()]
     .filter((item) => {
       if (item.state !== 'paused' || item.retryAt > now || !versionFits(item, sampler)) return false;
+      if (sampler.closing && !(item.singleVersion && item.generated > 0)) return false;
       const holder = item.sampler === undefined ? undefined : seating.samplers.get(item.sampler);
       return holds(item, sampler) || holder === undefined || !open(holder) || !holds(item, holder);
     })
@@ -185,7 +188,7 @@
       state = start(state, fitting, sampler);
       continue;
     }
-    if (paused.some((item) => now - item.pausedAt > rules.starvationMs)) return [state, decisions];
+    if (sampler.closing || paused.some((item) => now - item.pausedAt > rules.starvationMs)) return [state, decisions];
     const fresh = admissible(state, rules, sampler, room, now);
     if (!fresh) return [state, decisions];
     decisions.push({ kind: 'admit', item: fresh.key, sampler: sampler.name, held: false, cause: state.groups.get(fresh.group)?.probed === undefined ? 'probe of its group' : 'fits', figures: figures(fresh) });
--- a/src/shared/settings.ts
+++ b/src/shared/settings.ts
@@ -16,7 +16,7 @@
   bodyLimit: yup.number().integer().min(1),
   inFlight: yup.number().integer().min(1),
 }).noUnknown().strict()
-  .test('ports', 'peer and http must differ', (value) => value === undefined || value.peer !== value.http)
+  .test('ports', 'peer and http must differ', (value) => value?.peer === undefined || value.peer !== value.http)
   .test('data', 'data is needed for the roles store and core', (value) =>
     value === undefined || value.data !== undefined || !(value.roles ?? []).some((role) => role !== 'front'));
 
--- a/src/sim/day.ts
+++ b/src/sim/day.ts
@@ -1,7 +1,7 @@
 import { Effect } from 'effect';
 import { deployment, type Deployment } from '../dev/deployment.js';
 import type { Settings } from '../shared/settings.js';
-import { makeClients, type Seen } from './clients.js';
+import { makeClients, type Clients, type Seen } from './clients.js';
 import { makeFaults, type FaultKind } from './faults.js';
 import { judge, type Final, type Violation } from './oracle.js';
 import { readFinal } from './readFinal.js';
@@ -31,7 +31,7 @@
   readonly lastFault?: boolean;
   readonly settings?: Partial<Settings>;
   /** Called once the fleet serves, for what a test brings about itself. */
-  readonly script?: (world: World, fleet: SimFleet) => void;
+  readonly script?: (world: World, fleet: SimFleet, clients: Clients) => void;
 };
 
 const bootMs = 40_000;
@@ -65,7 +65,7 @@
   for (const name of ['trainer-a', 'trainer-b']) fleet.client(name, clients.trainer(name));
   fleet.client('followers', clients.followers);
   fleet.client('sequences', clients.sequences);
-  options.script?.(world, fleet);
+  options.script?.(world, fleet, clients);
   const faults = makeFaults(world, fleet, { from, until: stopAt, meanMs: options.meanFaultMs, ...(options.only ? { only: options.only } : {}) });
   world.runUntil(stopAt);
   faults.heal();
--- a/src/tests/seating.test.ts
+++ b/src/tests/seating.test.ts
@@ -5,7 +5,7 @@
 
 const rules = configuration.founded([]).seating;
 const sampler = (name: string, more: Partial<SeatedSampler> = {}): SeatedSampler =>
-  ({ name, incarnation: 1, budget: 1000, version: 1, ready: true, loading: false, interactive: 0, unexplained: 0, ...more });
+  ({ name, incarnation: 1, budget: 1000, version: 1, ready: true, loading: false, closing: false, interactive: 0, unexplained: 0, ...more });
 const item = (key: string, more: Partial<SeatedItem> = {}): SeatedItem => ({
   key, lot: key.split('/')[0]!, group: key.split('/').slice(0, 2).join('/'), step: 0, order: Number(key.split('/')[2]), taskType: 'play', minVersion: 0, singleVersion: false,
   staleness: undefined, promptTokens: 100, generated: 0, state: 'waiting', sampler: undefined, holderIncarnation: 1, holderVersion: 1, version: 1, pausedAt: 0, retryAt: 0, ...more,
@@ -68,6 +68,12 @@
     expect(plan(stateOf([paused], [sampler('a', { version: 2 })]))).toEqual(['resume lot/0/0 a']);
   });
 
+  test('a sampler kept for a version takes only what was begun on that version', () => {
+    const begun = item('lot/0/0', { state: 'paused', sampler: 'b', singleVersion: true, generated: 5 });
+    const free = item('lot/1/1', { state: 'paused', sampler: 'b', generated: 5 });
+    expect(plan(stateOf([begun, free, item('lot/2/2')], [sampler('a', { closing: true })]))).toEqual(['resume lot/0/0 a']);
+  });
+
   test('a paused item that starves stops admissions where it could run', () => {
     const paused = item('lot/0/0', { state: 'paused', sampler: 'a', generated: 700 });
     const active = item('lot/2/2', { state: 'active', sampler: 'a', promptTokens: 300 });
