--- a/src/cli/operatorCommands.ts
+++ b/src/cli/operatorCommands.ts
@@ -2,7 +2,7 @@
 import { request } from 'node:http';
 import { defineCommand } from 'citty';
 
-type Told = { readonly status: number; readonly text: string };
+type Told = { readonly status: number; readonly text: string; readonly bytes: Buffer };
 
 const exits = { done: 0, bounced: 1, usage: 2, unreachable: 3, unknown: 4 };
 
@@ -10,10 +10,11 @@
   new Promise((resolve, reject) => {
     const at = address.lastIndexOf(':');
     const sent = request({ host: address.slice(0, at), port: Number(address.slice(at + 1)), method, path, headers: { 'content-type': 'application/json', 'content-length': String(body?.length ?? 0) }, timeout: 60_000 }, (answer) => {
-      let text = '';
-      answer.setEncoding('utf8').on('data', (part: string) => {
-        text += part;
-      }).on('end', () => resolve({ status: answer.statusCode ?? 0, text })).on('error', reject);
+      const parts: Buffer[] = [];
+      answer.on('data', (part: Buffer) => void parts.push(part)).on('error', reject).on('end', () => {
+        const bytes = Buffer.concat(parts);
+        resolve({ status: answer.statusCode ?? 0, text: bytes.toString('utf8'), bytes });
+      });
     });
     sent.on('timeout', () => sent.destroy(new Error('no answer in 60 s'))).on('error', reject).end(body);
   });
@@ -28,7 +29,7 @@
 };
 
 const print = (told: Told, asJson: boolean, shape: (body: never) => ReadonlyArray<string>): void => {
-  if (asJson || told.status >= 300) process.stdout.write(told.text.endsWith('\n') ? told.text : `${told.text}\n`);
+  if (asJson || told.status >= 300) process.stdout.write(told.bytes);
   else for (const line of shape(JSON.parse(told.text) as never)) process.stdout.write(`${line}\n`);
 };
 
