Steward: a core that came back empty is voted in again

Cause: only a core that knew no configuration was taken for a newcomer, but an emptied core learns the configuration from the others within a second. It stayed out and the fleet ran on two voters. The steward now adds a present core whose former disk it retired itself; a core that an operator removed stays out.

--- a/src/node/steward.ts
+++ b/src/node/steward.ts
@@ -46,8 +46,9 @@
       yield* submit({ id: `retire-core/${lostVoter.name}/${lostVoter.disk}`, expected: sequence, voters: { remove: lostVoter.name } } as never, 'core_retired');
       return;
     }
-    const missing = nodes.find((node) => node.roles.includes('core') && node.coreFresh && node.disk !== '' && !configuration.voters.some((voter) => voter.name === node.name)
-      && configuration.voters.length < context.settings.foundingCores);
+    const retired = (name: string, disk: string): boolean => known.taken.some(({ id }) => id.startsWith(`retire-core/${name}/`) && id !== `retire-core/${name}/${disk}`);
+    const missing = nodes.find((node) => node.roles.includes('core') && node.disk !== '' && !configuration.voters.some((voter) => voter.name === node.name)
+      && configuration.voters.length < context.settings.foundingCores && retired(node.name, node.disk));
     if (missing) yield* submit({ id: `join-core/${missing.name}/${missing.disk}`, expected: sequence, voters: { add: missing.name } } as never, 'core_joined');
   });
 };
