Seater: a lot's end takes back rating calls that are under way

Closing a lot broke off its generations, but not its ratings. They now end with it. Ruled out: a start without a fresh look at the lot (the look was 0.1 s old).

--- a/src/front/seater.ts
+++ b/src/front/seater.ts
@@ -282,6 +282,7 @@
       state.swap((before) => seaterState.dropLot(before, id));
       for (const key of keys) {
         yield* FiberMap.remove(fibers, key);
+        yield* FiberMap.remove(fibers, `rating ${key}`);
         texts.delete(key);
         explained.delete(key);
         failures.delete(key);
@@ -388,7 +389,7 @@
         const open = state.get().lots.get(key.split('/')[0]!);
         if (end !== 'complete' || !open?.lot.ratingService || rated.has(key) || rating.has(key)) continue;
         rating.add(key);
-        yield* Effect.forkScoped(rateItem({ context, item: key, ratingService: open.lot.ratingService, allowed: () => held() && startable(open.id) }).pipe(
+        yield* FiberMap.run(fibers, `rating ${key}`, rateItem({ context, item: key, ratingService: open.lot.ratingService, allowed: () => held() && startable(open.id) }).pipe(
           Effect.tap((done) => Effect.sync(() => done && rated.add(key))), Effect.ensuring(Effect.sync(() => rating.delete(key)))));
       }
     }), 'ratings');
