--- a/eslint.config.js
+++ b/eslint.config.js
@@ -22,6 +22,7 @@
     plugins: { house: { rules: { 'one-value': oneValue } } },
     rules: {
       'max-lines': ['error', 400],
+      'max-len': ['error', { code: 120, ignoreUrls: false }],
       'house/one-value': 'error',
       'prefer-const': 'error',
       'no-var': 'error',
--- a/src/cli/nodeCommand.ts
+++ b/src/cli/nodeCommand.ts
@@ -7,7 +7,7 @@
 import { realLog } from '../edge/realLog.js';
 import { realTime } from '../edge/realTime.js';
 import { startNode } from '../node/node.js';
-import { checked } from '../shared/checked.js';
+import { checked, type Reason } from '../shared/checked.js';
 import { Disk } from '../shared/disk.js';
 import { Http } from '../shared/http.js';
 import { Links } from '../shared/links.js';
@@ -15,6 +15,8 @@
 import { settings, type Settings } from '../shared/settings.js';
 import { Timepiece } from '../shared/timepiece.js';
 
+const worded = (reason: Reason): string => `${reason.path ? `${reason.path}: ` : ''}${reason.message}`;
+
 const stop = (line: string): never => {
   process.stderr.write(`foxdeck: ${line}\n`);
   process.exit(2);
@@ -49,16 +51,18 @@
 };
 
 const given = (args: Readonly<Record<string, unknown>>): object =>
-  Object.fromEntries(Object.keys(flags).flatMap((name) => {
-    const value = args[name];
-    if (name === 'settings' || typeof value !== 'string') return [];
-    return [[name, listed.has(name) ? value.split(',') : numbers.has(name) ? Number(value) : value]];
-  }));
+  Object.fromEntries(
+    Object.keys(flags).flatMap((name) => {
+      const value = args[name];
+      if (name === 'settings' || typeof value !== 'string') return [];
+      return [[name, listed.has(name) ? value.split(',') : numbers.has(name) ? Number(value) : value]];
+    }),
+  );
 
 const read = (args: Readonly<Record<string, unknown>>): Settings => {
   const document = { ...fromFile(args['settings'] as string | undefined), ...given(args) };
   const shape = checked<Partial<Settings>>(settings.schema, document);
-  if (shape.isErr) return stop(`settings: ${shape.error.map((reason) => `${reason.path ? `${reason.path}: ` : ''}${reason.message}`).join('; ')}`);
+  if (shape.isErr) return stop(`settings: ${shape.error.map(worded).join('; ')}`);
   const whole = { ...settings.defaults, ...shape.value } as Settings;
   if (whole.data !== undefined) {
     try {
@@ -80,15 +84,18 @@
   run: async ({ args }) => {
     const own = read(args);
     const log = realLog(own.name);
-    const program = Effect.scoped(Effect.gen(function* () {
-      const told = yield* Deferred.make<string>();
-      for (const signal of ['SIGTERM', 'SIGINT'] as const) process.on(signal, () => void Deferred.unsafeDone(told, Effect.succeed(signal)));
-      const links = yield* realLinks(log);
-      const node = yield* startNode(own).pipe(Effect.provideService(Links, links));
-      const signal = yield* Deferred.await(told);
-      log.event('stopping', { signal });
-      yield* node.drain(drainMs);
-    })).pipe(
+    const program = Effect.scoped(
+      Effect.gen(function* () {
+        const told = yield* Deferred.make<string>();
+        for (const signal of ['SIGTERM', 'SIGINT'] as const)
+          process.on(signal, () => void Deferred.unsafeDone(told, Effect.succeed(signal)));
+        const links = yield* realLinks(log);
+        const node = yield* startNode(own).pipe(Effect.provideService(Links, links));
+        const signal = yield* Deferred.await(told);
+        log.event('stopping', { signal });
+        yield* node.drain(drainMs);
+      }),
+    ).pipe(
       Effect.provideService(Disk, realDisk(own.data ?? '.')),
       Effect.provideService(Http, realHttp),
       Effect.provideService(Log, log),
--- a/src/cli/operatorCommands.ts
+++ b/src/cli/operatorCommands.ts
@@ -9,14 +9,30 @@
 const call = (address: string, method: string, path: string, body?: Uint8Array): Promise<Told> =>
   new Promise((resolve, reject) => {
     const at = address.lastIndexOf(':');
-    const sent = request({ host: address.slice(0, at), port: Number(address.slice(at + 1)), method, path, headers: { 'content-type': 'application/json', 'content-length': String(body?.length ?? 0) }, timeout: 60_000 }, (answer) => {
-      const parts: Buffer[] = [];
-      answer.on('data', (part: Buffer) => void parts.push(part)).on('error', reject).on('end', () => {
-        const bytes = Buffer.concat(parts);
-        resolve({ status: answer.statusCode ?? 0, text: bytes.toString('utf8'), bytes });
-      });
-    });
-    sent.on('timeout', () => sent.destroy(new Error('no answer in 60 s'))).on('error', reject).end(body);
+    const sent = request(
+      {
+        host: address.slice(0, at),
+        port: Number(address.slice(at + 1)),
+        method,
+        path,
+        headers: { 'content-type': 'application/json', 'content-length': String(body?.length ?? 0) },
+        timeout: 60_000,
+      },
+      (answer) => {
+        const parts: Buffer[] = [];
+        answer
+          .on('data', (part: Buffer) => void parts.push(part))
+          .on('error', reject)
+          .on('end', () => {
+            const bytes = Buffer.concat(parts);
+            resolve({ status: answer.statusCode ?? 0, text: bytes.toString('utf8'), bytes });
+          });
+      },
+    );
+    sent
+      .on('timeout', () => sent.destroy(new Error('no answer in 60 s')))
+      .on('error', reject)
+      .end(body);
   });
 
 const exitOf = (told: Told): number => {
@@ -28,17 +44,33 @@
   }
 };
 
-const print = (told: Told, asJson: boolean, shape: (body: never) => ReadonlyArray<string>): void => {
+const print = <T>(told: Told, asJson: boolean, shape: (body: T) => ReadonlyArray<string>): void => {
   if (asJson || told.status >= 300) process.stdout.write(told.bytes);
-  else for (const line of shape(JSON.parse(told.text) as never)) process.stdout.write(`${line}\n`);
+  else for (const line of shape(JSON.parse(told.text) as T)) process.stdout.write(`${line}\n`);
 };
 
+const numbered = (sequence: string | undefined): string =>
+  sequence === undefined ? '' : `?sequence=${encodeURIComponent(sequence)}`;
+
+const fieldsOf = (row: Record<string, unknown>, names: ReadonlyArray<string>): string =>
+  names.map((name) => `${name}=${String(row[name] ?? '-')}`).join(' ');
+
 const common = {
-  at: { type: 'string', description: 'the HTTP address of any node', default: process.env['FOXDECK_AT'] ?? '127.0.0.1:7180' },
+  at: {
+    type: 'string',
+    description: 'the HTTP address of any node',
+    default: process.env['FOXDECK_AT'] ?? '127.0.0.1:7180',
+  },
   json: { type: 'boolean', description: 'print the answer as it came', default: false },
 } as const;
 
-const run = async (args: { at: string; json: boolean }, method: string, path: string, body: Uint8Array | undefined, shape: (body: never) => ReadonlyArray<string>): Promise<void> => {
+const run = async (
+  args: { at: string; json: boolean },
+  method: string,
+  path: string,
+  body: Uint8Array | undefined,
+  shape: (body: never) => ReadonlyArray<string>,
+): Promise<void> => {
   try {
     const told = await call(args.at, method, path, body);
     print(told, args.json, shape);
@@ -55,7 +87,14 @@
 export const operatorCommands = {
   apply: defineCommand({
     meta: { name: 'apply', description: 'Hands over a change, whole or not at all.' },
-    args: { ...common, file: { type: 'positional', description: 'a file with the change document, or - for standard input', required: true } },
+    args: {
+      ...common,
+      file: {
+        type: 'positional',
+        description: 'a file with the change document, or - for standard input',
+        required: true,
+      },
+    },
     run: async ({ args }) => {
       let bytes: Uint8Array;
       try {
@@ -65,41 +104,90 @@
         process.exitCode = exits.usage;
         return;
       }
-      await run(args, 'POST', '/foxdeck/changes', bytes, (body: { sequence: number }) => [`accepted as sequence ${body.sequence}`]);
+      await run(args, 'POST', '/foxdeck/changes', bytes, (body: { sequence: number }) => [
+        `accepted as sequence ${body.sequence}`,
+      ]);
     },
   }),
   show: defineCommand({
-    meta: { name: 'show', description: 'Shows the newest accepted configuration, a former one, or a change by its id.' },
-    args: { ...common, sequence: { type: 'string' }, change: { type: 'string', description: 'a change id' }, document: { type: 'boolean', description: "the change's exact bytes" } },
+    meta: {
+      name: 'show',
+      description: 'Shows the newest accepted configuration, a former one, or a change by its id.',
+    },
+    args: {
+      ...common,
+      sequence: { type: 'string' },
+      change: { type: 'string', description: 'a change id' },
+      document: { type: 'boolean', description: "the change's exact bytes" },
+    },
     run: async ({ args }) => {
-      const path = args.change !== undefined ? `/foxdeck/changes/${args.change}${args.document ? '/document' : ''}`
-        : `/foxdeck/configuration${args.sequence === undefined ? '' : `?sequence=${encodeURIComponent(args.sequence)}`}`;
+      const path =
+        args.change !== undefined
+          ? `/foxdeck/changes/${args.change}${args.document ? '/document' : ''}`
+          : `/foxdeck/configuration${numbered(args.sequence)}`;
       await run({ ...args, json: args.json || args.document === true }, 'GET', path, undefined, pretty);
     },
   }),
   status: defineCommand({
     meta: { name: 'status', description: 'Shows how the fleet stands, as one node knows it.' },
     args: common,
-    run: async ({ args }) => run(args, 'GET', '/foxdeck/fleet', undefined, (body: { nodes: ReadonlyArray<Record<string, unknown>>; samplers: ReadonlyArray<Record<string, unknown>> }) => [
-      ...body.nodes.map((node) => `node ${node['name']} domain=${node['domain']} roles=${String(node['roles'])} state=${node['state']} sequence=${node['sequence']} duties=${String(node['duties'])}`).sort(),
-      ...body.samplers.map((each) => `sampler ${each['name']} service=${each['service']} domain=${each['domain']} state=${each['state']} version=${each['version']} kvUsed=${each['kvUsed']}/${each['budget']}`).sort(),
-    ]),
+    run: async ({ args }) =>
+      run(
+        args,
+        'GET',
+        '/foxdeck/fleet',
+        undefined,
+        (body: { nodes: ReadonlyArray<Record<string, unknown>>; samplers: ReadonlyArray<Record<string, unknown>> }) => [
+          ...body.nodes
+            .map((node) => `node ${node['name']} ${fieldsOf(node, ['domain', 'roles', 'state', 'sequence', 'duties'])}`)
+            .sort(),
+          ...body.samplers
+            .map(
+              (each) =>
+                `sampler ${each['name']} ${fieldsOf(each, ['service', 'domain', 'state', 'version', 'kvUsed', 'budget'])}`,
+            )
+            .sort(),
+        ],
+      ),
   }),
   drain: defineCommand({
-    meta: { name: 'drain', description: 'Makes the node at --at bounce new work and hand its duties on; --undo takes it back.' },
+    meta: {
+      name: 'drain',
+      description: 'Makes the node at --at bounce new work and hand its duties on; --undo takes it back.',
+    },
     args: { ...common, undo: { type: 'boolean', default: false } },
-    run: async ({ args }) => run(args, 'POST', `/foxdeck/drain${args.undo ? '?undo=1' : ''}`, undefined, (body: { state: string }) => [`the node is ${body.state}`]),
+    run: async ({ args }) =>
+      run(args, 'POST', `/foxdeck/drain${args.undo ? '?undo=1' : ''}`, undefined, (body: { state: string }) => [
+        `the node is ${body.state}`,
+      ]),
   }),
   moves: defineCommand({
     meta: { name: 'moves', description: 'Shows the calendar of moves.' },
     args: common,
-    run: async ({ args }) => run(args, 'GET', '/foxdeck/moves', undefined, (body: { moves: ReadonlyArray<Record<string, unknown>> }) =>
-      body.moves.map((move) => `move ${move['name']} ${move['state']} start=${new Date(Number(move['startMs'])).toISOString()} sequence=${move['sequence'] ?? '-'}`)),
+    run: async ({ args }) =>
+      run(args, 'GET', '/foxdeck/moves', undefined, (body: { moves: ReadonlyArray<Record<string, unknown>> }) =>
+        body.moves.map((move) =>
+          [
+            `move ${move['name']} ${move['state']}`,
+            `start=${new Date(Number(move['startMs'])).toISOString()}`,
+            fieldsOf(move, ['sequence']),
+          ].join(' '),
+        ),
+      ),
   }),
   events: defineCommand({
     meta: { name: 'events', description: "Shows the fleet's events about an item, a sampler, a duty or a change." },
     args: { ...common, about: { type: 'string', default: '' }, most: { type: 'string', default: '100' } },
-    run: async ({ args }) => run(args, 'GET', `/foxdeck/events?about=${encodeURIComponent(args.about)}&most=${encodeURIComponent(args.most)}`, undefined,
-      (body: { lines: ReadonlyArray<string>; silent: ReadonlyArray<string> }) => [...body.lines, ...body.silent.map((node) => `no answer from ${node}`)]),
+    run: async ({ args }) =>
+      run(
+        args,
+        'GET',
+        `/foxdeck/events?about=${encodeURIComponent(args.about)}&most=${encodeURIComponent(args.most)}`,
+        undefined,
+        (body: { lines: ReadonlyArray<string>; silent: ReadonlyArray<string> }) => [
+          ...body.lines,
+          ...body.silent.map((node) => `no answer from ${node}`),
+        ],
+      ),
   }),
 };
--- a/src/core/acceptor.ts
+++ b/src/core/acceptor.ts
@@ -1,5 +1,12 @@
 import { create } from '@bufbuild/protobuf';
-import { BallotSchema, RecordSchema, VoteSchema, type Ballot, type Record as Kept, type Vote } from '../gen/foxdeck_pb.js';
+import {
+  BallotSchema,
+  RecordSchema,
+  VoteSchema,
+  type Ballot,
+  type Record as Kept,
+  type Vote,
+} from '../gen/foxdeck_pb.js';
 
 const none: Ballot = create(BallotSchema, { round: 0, proposer: '' });
 
@@ -9,7 +16,13 @@
 };
 
 const vote = (granted: boolean, record: Kept): Vote =>
-  create(VoteSchema, { granted, promised: record.promised, accepted: record.accepted, value: record.value, chosen: record.chosen });
+  create(VoteSchema, {
+    granted,
+    promised: record.promised,
+    accepted: record.accepted,
+    value: record.value,
+    chosen: record.chosen,
+  });
 
 type Step = { readonly record: Kept; readonly vote: Vote; readonly changed: boolean };
 
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -23,7 +23,10 @@
 const nameOf = (key: string): string => `${encodeURIComponent(key)}.rec`;
 
 /** Opens a folder of records; a file whose digest does not fit makes its key abstain until it is learnt anew. */
-export const openRecords = (folder: string, log: Context.Tag.Service<typeof Log>): Effect.Effect<Records, Fault, Disk> =>
+export const openRecords = (
+  folder: string,
+  log: Context.Tag.Service<typeof Log>,
+): Effect.Effect<Records, Fault, Disk> =>
   Effect.gen(function* () {
     const disk = yield* Disk;
     yield* disk.makeFolder(folder);
@@ -49,29 +52,44 @@
         const entry = lanes.get(key) ?? { lane: Effect.unsafeMakeSemaphore(1), waiting: 0 };
         lanes.set(key, entry);
         entry.waiting += 1;
-        return entry.lane.withPermits(1)(work).pipe(Effect.ensuring(Effect.sync(() => {
-          entry.waiting -= 1;
-          if (entry.waiting === 0) lanes.delete(key);
-        })));
+        return entry.lane
+          .withPermits(1)(work)
+          .pipe(
+            Effect.ensuring(
+              Effect.sync(() => {
+                entry.waiting -= 1;
+                if (entry.waiting === 0) lanes.delete(key);
+              }),
+            ),
+          );
       });
     return {
       get: (key) => state.get().kept.get(key),
       keys: () => [...state.get().kept.keys()],
       damaged: () => [...state.get().damaged],
       apply: (key, step) =>
-        inLane(key, Effect.uninterruptible(Effect.gen(function* () {
-          const taken = step(state.get().kept.get(key) ?? acceptor.fresh(key));
-          if (state.get().damaged.has(key) && !taken.record.chosen) {
-            return yield* new Fault({ step: 'record', reason: `${key} is damaged here; this disk abstains` });
-          }
-          if (taken.changed) {
-            yield* sealedFiles.write(folder, nameOf(key), toBinary(RecordSchema, taken.record)).pipe(Effect.provideService(Disk, disk));
-            state.swap((now) => ({
-              kept: new Map(now.kept).set(key, taken.record),
-              damaged: now.damaged.has(key) ? new Set([...now.damaged].filter((other) => other !== key)) : now.damaged,
-            }));
-          }
-          return taken.vote;
-        }))),
+        inLane(
+          key,
+          Effect.uninterruptible(
+            Effect.gen(function* () {
+              const taken = step(state.get().kept.get(key) ?? acceptor.fresh(key));
+              if (state.get().damaged.has(key) && !taken.record.chosen) {
+                return yield* new Fault({ step: 'record', reason: `${key} is damaged here; this disk abstains` });
+              }
+              if (taken.changed) {
+                yield* sealedFiles
+                  .write(folder, nameOf(key), toBinary(RecordSchema, taken.record))
+                  .pipe(Effect.provideService(Disk, disk));
+                state.swap((now) => ({
+                  kept: new Map(now.kept).set(key, taken.record),
+                  damaged: now.damaged.has(key)
+                    ? new Set([...now.damaged].filter((other) => other !== key))
+                    : now.damaged,
+                }));
+              }
+              return taken.vote;
+            }),
+          ),
+        ),
     };
   });
--- a/src/dev/fleet.ts
+++ b/src/dev/fleet.ts
@@ -11,7 +11,12 @@
 process.on('SIGTERM', () => void fleet.stop().then(() => process.exit(0)));
 await outside.until('every front to know every node and sampler', 60_000, async () => {
   const answers = await Promise.all(fleet.fronts.map((front) => outside.call(front, 'GET', '/foxdeck/status')));
-  return answers.every(({ body }) => body['inForce'] === true && body['nodes'] === deployment.nodes(given).length && body['samplers'] === deployment.samplers(given).length);
+  return answers.every(
+    ({ body }) =>
+      body['inForce'] === true &&
+      body['nodes'] === deployment.nodes(given).length &&
+      body['samplers'] === deployment.samplers(given).length,
+  );
 });
 const answer = await outside.call(fleet.fronts[0]!, 'POST', '/foxdeck/changes', deployment.change(given));
 process.stdout.write(answer.text);
--- a/src/dev/realDay.ts
+++ b/src/dev/realDay.ts
@@ -17,13 +17,16 @@
 
 const flag = (name: string, fallback: string): string => {
   const place = process.argv.indexOf(`--${name}`);
-  return place < 0 ? fallback : process.argv[place + 1] ?? fallback;
+  return place < 0 ? fallback : (process.argv[place + 1] ?? fallback);
 };
 const file = flag('deployment', 'settings/ihuriro.json');
 const workMs = Number(flag('work', '30000'));
 const faults = flag('faults', 'yes') === 'yes';
 const read = JSON.parse(readFileSync(file, 'utf8')) as Deployment;
-const given: Deployment = { ...read, samplers: [...read.samplers, { service: 'other', kind: 'plain', count: 2, budget: 0, pieceMs: 10, loadMs: 0 }] };
+const given: Deployment = {
+  ...read,
+  samplers: [...read.samplers, { service: 'other', kind: 'plain', count: 2, budget: 0, pieceMs: 10, loadMs: 0 }],
+};
 const seeded = makeWorld(Number(flag('seed', '1')));
 const folder = mkdtempSync(join(tmpdir(), 'foxdeck-day-'));
 const fleet: Fleet = await startFleet(given, folder);
@@ -65,19 +68,30 @@
 try {
   const bootMs = await outside.until('every front to know every node and sampler', 60_000, async () => {
     const answers = await Promise.all(fleet.fronts.map((front) => outside.call(front, 'GET', '/foxdeck/status')));
-    return answers.every(({ body }) => body['inForce'] === true && body['nodes'] === deployment.nodes(given).length && body['samplers'] === deployment.samplers(given).length);
+    return answers.every(
+      ({ body }) =>
+        body['inForce'] === true &&
+        body['nodes'] === deployment.nodes(given).length &&
+        body['samplers'] === deployment.samplers(given).length,
+    );
   });
   say(`booted in ${bootMs} ms: ${deployment.nodes(given).length} nodes, ${deployment.samplers(given).length} samplers`);
-  await running(clients.change({ ...deployment.change(given), services: { ...given.change.services, other: { kind: 'plain' } } }));
+  await running(
+    clients.change({ ...deployment.change(given), services: { ...given.change.services, other: { kind: 'plain' } } }),
+  );
   stopAt = now() + workMs;
   const work = [
-    ...['operator-a', 'operator-b'].map(clients.operator), ...['caller-a', 'caller-b', 'caller-c', 'caller-d'].map(clients.ordinary), ...['trainer-a', 'trainer-b'].map(clients.trainer),
+    ...['operator-a', 'operator-b'].map(clients.operator),
+    ...['caller-a', 'caller-b', 'caller-c', 'caller-d'].map(clients.ordinary),
+    ...['trainer-a', 'trainer-b'].map(clients.trainer),
     clients.sequences,
   ].map((each) => running(each));
   void running(clients.followers);
   const history = faults ? await trouble() : [];
   await Promise.all(work);
-  say(`worked: ${seen.filter((each) => each.kind === 'ordinary').length} requests, ${seen.filter((each) => each.kind === 'lot-told' && each['status'] === 201).length} lots, ${history.length} faults`);
+  const count = (kind: string, status?: number): number =>
+    seen.filter((each) => each.kind === kind && (status === undefined || each['status'] === status)).length;
+  say(`worked: ${count('ordinary')} requests, ${count('lot-told', 201)} lots, ${history.length} faults`);
   for (const line of history) say(`  ${line}`);
   if (faults) {
     const nodes = fleet.members.filter((member) => member.role !== 'sampler');
@@ -91,11 +105,16 @@
   const sights = fleet.sights().map((sight) => ({ ...sight, at: sight.at - epoch }));
   const { violations, checked } = judge(seen, sights, final);
   const statuses = new Map<string, number>();
-  for (const each of seen.filter((one) => one.kind === 'ordinary')) statuses.set(`${String(each['status'])} ${String(each['outcome'] ?? '')}`.trim(), (statuses.get(`${String(each['status'])} ${String(each['outcome'] ?? '')}`.trim()) ?? 0) + 1);
+  for (const each of seen.filter((one) => one.kind === 'ordinary'))
+    statuses.set(
+      `${String(each['status'])} ${String(each['outcome'] ?? '')}`.trim(),
+      (statuses.get(`${String(each['status'])} ${String(each['outcome'] ?? '')}`.trim()) ?? 0) + 1,
+    );
   say(`ordinary answers: ${[...statuses].map(([status, count]) => `${status}: ${count}`).join(', ')}`);
   say(`checks: ${JSON.stringify(checked)}`);
   for (const violation of violations) say(`VIOLATION ${violation.rule}: ${violation.what}`);
-  say(`${violations.length} violations, ${Object.values(checked).reduce((sum, count) => sum + count, 0)} checks; logs in ${folder}`);
+  const checks = Object.values(checked).reduce((sum, number) => sum + number, 0);
+  say(`${violations.length} violations, ${checks} checks; logs in ${folder}`);
   process.exitCode = violations.length > 0 ? 1 : 0;
 } finally {
   await fleet.stop();
--- a/src/dev/textOf.ts
+++ b/src/dev/textOf.ts
@@ -1,12 +1,44 @@
 import { createHash } from 'node:crypto';
 
-const words = ['ami', 'bora', 'cyane', 'dusa', 'eza', 'fata', 'gira', 'hora', 'ikaze', 'jya', 'kora', 'leta', 'mera', 'neza', 'ora', 'pima', 'rara', 'seka', 'tega', 'umva', 'vuga', 'wowe', 'yego', 'zana'];
-const draw = (...parts: ReadonlyArray<string | number>): number => createHash('sha256').update(parts.join('\u0000')).digest().readUInt32BE();
+const words = [
+  'ami',
+  'bora',
+  'cyane',
+  'dusa',
+  'eza',
+  'fata',
+  'gira',
+  'hora',
+  'ikaze',
+  'jya',
+  'kora',
+  'leta',
+  'mera',
+  'neza',
+  'ora',
+  'pima',
+  'rara',
+  'seka',
+  'tega',
+  'umva',
+  'vuga',
+  'wowe',
+  'yego',
+  'zana',
+];
+const draw = (...parts: ReadonlyArray<string | number>): number =>
+  createHash('sha256').update(parts.join('\u0000')).digest().readUInt32BE();
 
 /** Texts in which each piece follows from the version and all that came before, so that splices and mixes show. */
 export const textOf = {
-  length: (prompt: string, maxTokens: number | undefined): number => Math.min(6 + (draw('length', prompt) % 60), maxTokens ?? Infinity),
-  piece: (prompt: string, version: number, before: string, index: number): { readonly text: string; readonly tokens: number; readonly version: number } => {
+  length: (prompt: string, maxTokens: number | undefined): number =>
+    Math.min(6 + (draw('length', prompt) % 60), maxTokens ?? Infinity),
+  piece: (
+    prompt: string,
+    version: number,
+    before: string,
+    index: number,
+  ): { readonly text: string; readonly tokens: number; readonly version: number } => {
     const number = draw(prompt, version, before, index);
     const text = `${words[number % words.length]}-v${version}.${index} ${'la '.repeat(number % 8)}`;
     return { text, tokens: textOf.tokens(text), version };
--- a/src/edge/realDisk.ts
+++ b/src/edge/realDisk.ts
@@ -18,11 +18,17 @@
 
 /** The files under one data folder. */
 export const realDisk = (root: string): Context.Tag.Service<typeof Disk> => ({
-  makeFolder: (path) => tried('make folder', async () => {
-    await files.mkdir(join(root, path), { recursive: true });
-    await synced(join(root, path, '..'), 'r');
-  }),
-  list: (path) => tried('list', async () => (await files.readdir(join(root, path), { withFileTypes: true })).filter((entry) => entry.isFile()).map((entry) => entry.name)),
+  makeFolder: (path) =>
+    tried('make folder', async () => {
+      await files.mkdir(join(root, path), { recursive: true });
+      await synced(join(root, path, '..'), 'r');
+    }),
+  list: (path) =>
+    tried('list', async () =>
+      (await files.readdir(join(root, path), { withFileTypes: true }))
+        .filter((entry) => entry.isFile())
+        .map((entry) => entry.name),
+    ),
   read: (path) => tried('read', () => files.readFile(join(root, path))),
   write: (path, bytes) => tried('write', () => files.writeFile(join(root, path), bytes)),
   syncFile: (path) => tried('sync file', () => synced(join(root, path), 'r+')),
--- a/src/front/controlFace.ts
+++ b/src/front/controlFace.ts
@@ -12,11 +12,16 @@
 
 const told = (outcome: Outcome): HttpReply => {
   switch (outcome.state) {
-    case 'accepted': return replies.json(200, outcome);
-    case 'bounced': return replies.bounce(422, 'the change was not taken', undefined, outcome);
-    case 'conflict': return replies.bounce(409, outcome.message, undefined, outcome);
-    case 'unavailable': return replies.bounce(503, outcome.message, 1, outcome);
-    case 'unknown': return replies.unknown(504, outcome.message);
+    case 'accepted':
+      return replies.json(200, outcome);
+    case 'bounced':
+      return replies.bounce(422, 'the change was not taken', undefined, outcome);
+    case 'conflict':
+      return replies.bounce(409, outcome.message, undefined, outcome);
+    case 'unavailable':
+      return replies.bounce(503, outcome.message, 1, outcome);
+    case 'unknown':
+      return replies.unknown(504, outcome.message);
   }
 };
 
@@ -35,13 +40,28 @@
   const announce = (ask: HttpAsk): HttpReply => {
     if (context.state() === 'draining') return replies.bounce(503, 'this node is draining; announce to another', 1);
     const shape = checked<Announcement>(announcement, parsed(ask));
-    if (shape.isErr) return replies.bounce(400, 'the announcement is not well formed', undefined, { reasons: shape.error });
+    if (shape.isErr)
+      return replies.bounce(400, 'the announcement is not well formed', undefined, { reasons: shape.error });
     const given = shape.value;
     const source = `sampler/${given.name}`;
     const before = news.newest(source);
-    const taken = news.tell({ source, incarnation: given.incarnation, sequence: given.sequence, kind: 'sampler', body: given, left: context.settings.samplerLeaseMs });
-    if (!taken) return replies.bounce(409, 'a later announcement is known', undefined, { incarnation: before?.incarnation, sequence: before?.sequence });
-    return replies.json(200, { leaseMs: context.settings.samplerLeaseMs, renewMs: Math.floor(context.settings.samplerLeaseMs / 4) });
+    const taken = news.tell({
+      source,
+      incarnation: given.incarnation,
+      sequence: given.sequence,
+      kind: 'sampler',
+      body: given,
+      left: context.settings.samplerLeaseMs,
+    });
+    if (!taken)
+      return replies.bounce(409, 'a later announcement is known', undefined, {
+        incarnation: before?.incarnation,
+        sequence: before?.sequence,
+      });
+    return replies.json(200, {
+      leaseMs: context.settings.samplerLeaseMs,
+      renewMs: Math.floor(context.settings.samplerLeaseMs / 4),
+    });
   };
 
   const nameWeights = (ask: HttpAsk): Effect.Effect<HttpReply> =>
@@ -51,30 +71,54 @@
         return replies.bounce(400, 'a service, a whole version and a whole step are needed');
       }
       const { service, version, step } = given as { service: string; version: number; step: number };
-      return told(yield* register.change(Buffer.from(JSON.stringify({ id: `weights/${service}/${version}/${step}`, weights: { [service]: { version, step } } }))));
+      return told(
+        yield* register.change(
+          Buffer.from(
+            JSON.stringify({ id: `weights/${service}/${version}/${step}`, weights: { [service]: { version, step } } }),
+          ),
+        ),
+      );
     });
 
   const configurationAt = (sequence: number | undefined): Effect.Effect<HttpReply, Fault> =>
     Effect.gen(function* () {
       const known = yield* register.latest;
-      const before = known.configuration.formerVoters.length > 0 ? { ...known.configuration, voters: known.configuration.formerVoters } : known.configuration;
+      const before =
+        known.configuration.formerVoters.length > 0
+          ? { ...known.configuration, voters: known.configuration.formerVoters }
+          : known.configuration;
       const settled = yield* register.settle(before, known.sequence);
       if (settled.state !== 'accepted') return told(settled);
-      if (sequence === undefined) return replies.json(200, { sequence: known.sequence, configuration: known.configuration });
+      if (sequence === undefined)
+        return replies.json(200, { sequence: known.sequence, configuration: known.configuration });
       const value = yield* register.at(sequence);
       if (!value) return replies.bounce(404, `no sequence ${sequence}`);
-      return replies.json(200, { sequence, change: value.changeId, configuration: JSON.parse(value.configuration) as Configuration });
+      return replies.json(200, {
+        sequence,
+        change: value.changeId,
+        configuration: JSON.parse(value.configuration) as Configuration,
+      });
     });
 
   const changeOf = (id: string, bytes: boolean): Effect.Effect<HttpReply, Fault> =>
     Effect.gen(function* () {
       const found = yield* register.find(id);
       if (!found) return replies.json(404, { state: 'not taken', upTo: register.known()?.sequence ?? 0 });
-      if (bytes) return { status: 200, headers: { 'content-type': 'application/json', 'foxdeck-sequence': String(found.sequence) }, body: found.change };
+      if (bytes)
+        return {
+          status: 200,
+          headers: { 'content-type': 'application/json', 'foxdeck-sequence': String(found.sequence) },
+          body: found.change,
+        };
       const known = yield* register.latest;
-      const before = known.configuration.formerVoters.length > 0 ? { ...known.configuration, voters: known.configuration.formerVoters } : known.configuration;
+      const before =
+        known.configuration.formerVoters.length > 0
+          ? { ...known.configuration, voters: known.configuration.formerVoters }
+          : known.configuration;
       const settled = yield* register.settle(before, known.sequence);
-      return settled.state === 'accepted' ? replies.json(200, { state: 'accepted', sequence: found.sequence }) : told(settled);
+      return settled.state === 'accepted'
+        ? replies.json(200, { state: 'accepted', sequence: found.sequence })
+        : told(settled);
     });
 
   return (ask: HttpAsk): Effect.Effect<HttpReply> =>
@@ -86,7 +130,8 @@
         case 'GET health':
           return replies.json(200, { node: context.settings.name, state: context.state() });
         case 'GET ready': {
-          const ready = context.state() === 'ready' && (!context.settings.roles.includes('front') || context.leases.inForce());
+          const ready =
+            context.state() === 'ready' && (!context.settings.roles.includes('front') || context.leases.inForce());
           return ready ? replies.json(200, { ready }) : replies.bounce(503, 'not ready', 1, { state: context.state() });
         }
         case 'GET status':
@@ -102,18 +147,29 @@
           return told(yield* register.change(ask.body));
         }
         case 'GET changes':
-          return about.endsWith('/document') ? yield* changeOf(about.slice(0, -'/document'.length), true) : yield* changeOf(about, false);
+          return about.endsWith('/document')
+            ? yield* changeOf(about.slice(0, -'/document'.length), true)
+            : yield* changeOf(about, false);
         case 'GET configuration':
-          return yield* configurationAt(url.searchParams.has('sequence') ? Number(url.searchParams.get('sequence')) : undefined);
+          return yield* configurationAt(
+            url.searchParams.has('sequence') ? Number(url.searchParams.get('sequence')) : undefined,
+          );
         case 'GET moves': {
           const known = yield* register.latest;
           return replies.json(200, { moves: yield* movesOf(register, known.configuration, context.time.wall()) });
         }
         case 'GET events': {
-          const number = (name: string, fallback: number): number => (url.searchParams.has(name) ? Number(url.searchParams.get(name)) : fallback);
-          return replies.json(200, yield* context.events({
-            from: number('from', 0), until: number('until', Number.MAX_SAFE_INTEGER), about: url.searchParams.get('about') ?? '', most: number('most', 200),
-          }));
+          const number = (name: string, fallback: number): number =>
+            url.searchParams.has(name) ? Number(url.searchParams.get(name)) : fallback;
+          return replies.json(
+            200,
+            yield* context.events({
+              from: number('from', 0),
+              until: number('until', Number.MAX_SAFE_INTEGER),
+              about: url.searchParams.get('about') ?? '',
+              most: number('most', 200),
+            }),
+          );
         }
         case 'POST drain':
           yield* context.draining(!url.searchParams.has('undo'));
--- a/src/front/face.ts
+++ b/src/front/face.ts
@@ -27,22 +27,33 @@
         context.log.count('overload_bounces');
         return replies.bounce(503, `this front carries ${inFlight.size()} requests already`, 1);
       }
-      yield* Effect.acquireRelease(Effect.sync(() => inFlight.insert({ path: ask.path, since: context.time.held() })),
-        ({ index, generation }) => Effect.sync(() => inFlight.take(index, generation)));
+      yield* Effect.acquireRelease(
+        Effect.sync(() => inFlight.insert({ path: ask.path, since: context.time.held() })),
+        ({ index, generation }) => Effect.sync(() => inFlight.take(index, generation)),
+      );
       return yield* ask.path.startsWith('/foxdeck/lots') ? lots(ask) : ordinary(ask);
     });
 
   return {
     inFlight: inFlight.size,
-    handle: (ask) => Effect.gen(function* () {
-      context.log.count('asks');
-      const owned = ask.path.startsWith('/foxdeck/') || ask.path === '/foxdeck';
-      const reply = yield* owned && !ask.path.startsWith('/foxdeck/lots') ? control(ask) : served(ask);
-      context.log.count(`replies_${reply.status}`);
-      return reply;
-    }).pipe(Effect.catchAllCause((cause) => Effect.sync(() => {
-      context.log.event('ask_failed', { method: ask.method, path: ask.path, reason: Cause.pretty(cause).slice(0, 300) });
-      return replies.unknown(500, 'the node failed on this request');
-    }))),
+    handle: (ask) =>
+      Effect.gen(function* () {
+        context.log.count('asks');
+        const owned = ask.path.startsWith('/foxdeck/') || ask.path === '/foxdeck';
+        const reply = yield* owned && !ask.path.startsWith('/foxdeck/lots') ? control(ask) : served(ask);
+        context.log.count(`replies_${reply.status}`);
+        return reply;
+      }).pipe(
+        Effect.catchAllCause((cause) =>
+          Effect.sync(() => {
+            context.log.event('ask_failed', {
+              method: ask.method,
+              path: ask.path,
+              reason: Cause.pretty(cause).slice(0, 300),
+            });
+            return replies.unknown(500, 'the node failed on this request');
+          }),
+        ),
+      ),
   };
 };
--- a/src/front/lotsFace.ts
+++ b/src/front/lotsFace.ts
@@ -11,8 +11,13 @@
 
 const encoder = new TextEncoder();
 const sse = (fields: { id?: number; event?: string; data: unknown }): string =>
-  `${fields.event === undefined ? '' : `event: ${fields.event}\n`}${fields.id === undefined ? '' : `id: ${fields.id}\n`}data: ${JSON.stringify(fields.data)}\n\n`;
-const unavailable = (fault: Fault): HttpReply => (fault.unknown ? replies.unknown(503, fault.message) : replies.bounce(503, fault.message, 1));
+  [
+    ...(fields.event === undefined ? [] : [`event: ${fields.event}\n`]),
+    ...(fields.id === undefined ? [] : [`id: ${fields.id}\n`]),
+    `data: ${JSON.stringify(fields.data)}\n\n`,
+  ].join('');
+const unavailable = (fault: Fault): HttpReply =>
+  fault.unknown ? replies.unknown(503, fault.message) : replies.bounce(503, fault.message, 1);
 
 /** The trainers' face: lots, their items, results and streams. */
 export const makeLotsFace = (context: NodeContext) => {
@@ -31,13 +36,18 @@
       const given = shape.value;
       const services = context.register.known()?.configuration.services ?? {};
       const reasons = [
-        ...(services[given.service]?.kind === 'model' ? [] : [{ path: 'service', message: `no model service named ${given.service}` }]),
-        ...(given.ratingService === undefined || services[given.ratingService]?.kind === 'plain' ? [] : [{ path: 'ratingService', message: `no plain service named ${given.ratingService}` }]),
+        ...(services[given.service]?.kind === 'model'
+          ? []
+          : [{ path: 'service', message: `no model service named ${given.service}` }]),
+        ...(given.ratingService === undefined || services[given.ratingService]?.kind === 'plain'
+          ? []
+          : [{ path: 'ratingService', message: `no plain service named ${given.ratingService}` }]),
       ];
       if (reasons.length > 0) return replies.bounce(400, 'the lot names what is not there', undefined, { reasons });
       const id = lot.idOf(given.key);
       const chosen = yield* book.once<Lot>(lot.keys.lot(id), given);
-      if (JSON.stringify(chosen) !== JSON.stringify(given)) return replies.bounce(409, `another lot was taken under the key ${given.key}`, undefined, { id });
+      if (JSON.stringify(chosen) !== JSON.stringify(given))
+        return replies.bounce(409, `another lot was taken under the key ${given.key}`, undefined, { id });
       const end = yield* book.end(id);
       if (end && end.reason !== 'complete') return replies.bounce(410, 'the lot is ended', undefined, { id });
       yield* Effect.forkDaemon(Effect.ignore(context.seater(given.service, 'lot', { id })));
@@ -48,12 +58,30 @@
   const show = (id: string, found: Lot): Effect.Effect<HttpReply, Fault> =>
     Effect.gen(function* () {
       const end = yield* book.end(id);
-      const items = yield* Effect.forEach(lot.itemsOf(found), (each) => Effect.gen(function* () {
-        const key = lot.keys.item(id, each.group, each.item);
-        const result = yield* book.result(key);
-        return { group: each.group, item: each.item, state: result?.state ?? (end ? 'ended' : 'open'), reason: result?.state === 'failed' ? result.reason : undefined };
-      }), { concurrency: 16 });
-      return replies.json(200, { id, key: found.key, service: found.service, step: found.step, taskType: found.taskType, state: end ? (end.reason === 'complete' ? 'complete' : 'ended') : 'open', items });
+      const items = yield* Effect.forEach(
+        lot.itemsOf(found),
+        (each) =>
+          Effect.gen(function* () {
+            const key = lot.keys.item(id, each.group, each.item);
+            const result = yield* book.result(key);
+            return {
+              group: each.group,
+              item: each.item,
+              state: result?.state ?? (end ? 'ended' : 'open'),
+              reason: result?.state === 'failed' ? result.reason : undefined,
+            };
+          }),
+        { concurrency: 16 },
+      );
+      return replies.json(200, {
+        id,
+        key: found.key,
+        service: found.service,
+        step: found.step,
+        taskType: found.taskType,
+        state: end ? (end.reason === 'complete' ? 'complete' : 'ended') : 'open',
+        items,
+      });
     });
 
   const showItem = (id: string, found: Lot, key: string): Effect.Effect<HttpReply, Fault> =>
@@ -65,22 +93,38 @@
         const end = yield* book.end(id);
         if (end) return replies.json(200, { ...place, state: 'ended' });
         const why = yield* Effect.either(context.seater(found.service, 'why', { item: key }));
-        return replies.json(200, { ...place, state: 'open', why: why._tag === 'Right' ? why.right : { known: false, obstacle: why.left.message } });
+        return replies.json(200, {
+          ...place,
+          state: 'open',
+          why: why._tag === 'Right' ? why.right : { known: false, obstacle: why.left.message },
+        });
       }
       const rating = yield* book.rating(key);
       return replies.json(200, {
-        ...place, state: result.state, text: result.pieces.map((piece) => piece.text).join(''), pieces: result.pieces,
-        ...(result.state === 'complete' ? { digest: result.digest, promptTokens: result.promptTokens, rating: rating?.rating, ratedDigest: rating?.digest } : { reason: result.reason }),
+        ...place,
+        state: result.state,
+        text: result.pieces.map((piece) => piece.text).join(''),
+        pieces: result.pieces,
+        ...(result.state === 'complete'
+          ? {
+              digest: result.digest,
+              promptTokens: result.promptTokens,
+              rating: rating?.rating,
+              ratedDigest: rating?.digest,
+            }
+          : { reason: result.reason }),
       });
     });
 
   const stream = (id: string, found: Lot, key: string, ask: HttpAsk): Effect.Effect<HttpReply, Fault> =>
     Effect.gen(function* () {
       const from = Number(ask.headers['last-event-id'] ?? 0);
-      if (!Number.isInteger(from) || from < 0) return replies.bounce(400, 'Last-Event-Id must be the number of a piece');
+      if (!Number.isInteger(from) || from < 0)
+        return replies.bounce(400, 'Last-Event-Id must be the number of a piece');
       const already = yield* book.result(key);
       if (!already && (yield* book.end(id))) return replies.bounce(410, 'the lot is ended');
-      if (already && from > already.pieces.length) return replies.bounce(400, `the text has ${already.pieces.length} pieces`);
+      if (already && from > already.pieces.length)
+        return replies.bounce(400, `the text has ${already.pieces.length} pieces`);
       const next = (place: number): Effect.Effect<readonly [string, number | undefined], Fault> =>
         Effect.gen(function* () {
           const asked = yield* Effect.either(context.seater(found.service, 'events', { item: key, from: place }));
@@ -90,8 +134,17 @@
           if (news.known && !news.done) return [text, reached] as const;
           const result = yield* book.result(key).pipe(Effect.retry({ times: 3 }));
           if (result) {
-            const rest = result.pieces.slice(reached).map((piece, index) => sse({ id: reached + index + 1, data: piece })).join('');
-            const tail = sse({ event: result.state === 'complete' ? 'done' : 'failed', data: result.state === 'complete' ? { count: result.pieces.length, digest: result.digest } : { reason: result.reason } });
+            const rest = result.pieces
+              .slice(reached)
+              .map((piece, index) => sse({ id: reached + index + 1, data: piece }))
+              .join('');
+            const tail = sse({
+              event: result.state === 'complete' ? 'done' : 'failed',
+              data:
+                result.state === 'complete'
+                  ? { count: result.pieces.length, digest: result.digest }
+                  : { reason: result.reason },
+            });
             return [text + rest + tail, undefined] as const;
           }
           const end = yield* book.end(id).pipe(Effect.retry({ times: 3 }));
@@ -99,15 +152,29 @@
           yield* Effect.sleep(250);
           return [`${text}: waiting\n\n`, reached] as const;
         });
-      const body = Stream.unfoldEffect<number | undefined, Uint8Array, Fault, never>(from, (place) => (place === undefined ? Effect.succeedNone
-        : Effect.map(next(place), ([text, reached]) => Option.some([encoder.encode(text), reached] as const))));
-      return { status: 200, headers: { 'content-type': 'text/event-stream', 'cache-control': 'no-store' }, body: Stream.filter(body, (bytes) => bytes.length > 0) };
+      const body = Stream.unfoldEffect<number | undefined, Uint8Array, Fault, never>(from, (place) =>
+        place === undefined
+          ? Effect.succeedNone
+          : Effect.map(next(place), ([text, reached]) => Option.some([encoder.encode(text), reached] as const)),
+      );
+      return {
+        status: 200,
+        headers: { 'content-type': 'text/event-stream', 'cache-control': 'no-store' },
+        body: Stream.filter(body, (bytes) => bytes.length > 0),
+      };
     });
 
   const end = (id: string, found: Lot): Effect.Effect<HttpReply, Fault> =>
     Effect.gen(function* () {
       const chosen = yield* book.once(lot.keys.end(id), { reason: 'ended' });
-      context.news.tell({ source: `ended/${id}`, incarnation: 1, sequence: 1, kind: 'ended', body: { lot: id }, left: 60_000 });
+      context.news.tell({
+        source: `ended/${id}`,
+        incarnation: 1,
+        sequence: 1,
+        kind: 'ended',
+        body: { lot: id },
+        left: 60_000,
+      });
       yield* Effect.forkDaemon(Effect.ignore(context.seater(found.service, 'ended', { id })));
       context.log.event('lot_ended', { lot: id });
       return replies.json(200, { id, state: chosen.reason === 'complete' ? 'complete' : 'ended' });
@@ -116,7 +183,8 @@
   return (ask: HttpAsk): Effect.Effect<HttpReply> =>
     Effect.gen(function* () {
       const [, , , id, part, group, item, last] = ask.path.split('?')[0]!.split('/');
-      if (id === undefined) return ask.method === 'POST' ? yield* hand(ask) : replies.bounce(405, 'lots are handed over by POST');
+      if (id === undefined)
+        return ask.method === 'POST' ? yield* hand(ask) : replies.bounce(405, 'lots are handed over by POST');
       const found = yield* book.lot(id);
       if (!found) return replies.bounce(404, `no lot ${id}`);
       if (part === undefined && ask.method === 'GET') return yield* show(id, found);
--- a/src/front/rateItem.ts
+++ b/src/front/rateItem.ts
@@ -20,22 +20,45 @@
     const result = yield* book.result(item);
     if (result?.state !== 'complete') return false;
     const text = result.pieces.map((piece) => piece.text).join('');
-    const raters = context.news.samplers().filter((sampler) => sampler.service === options.ratingService && sampler.state === 'ready');
+    const raters = context.news
+      .samplers()
+      .filter((sampler) => sampler.service === options.ratingService && sampler.state === 'ready');
     const chosenRater = raters[Math.floor(context.time.chance() * raters.length)];
-    if (!chosenRater) return yield* new Fault({ step: 'rate', reason: `no sampler of ${options.ratingService} is ready` });
+    if (!chosenRater)
+      return yield* new Fault({ step: 'rate', reason: `no sampler of ${options.ratingService} is ready` });
     if (!options.allowed()) return false;
     const body = Buffer.from(JSON.stringify({ item, text, digest: result.digest }));
-    const rating = yield* Effect.scoped(Effect.gen(function* () {
-      const reply = yield* context.http.call(chosenRater.address as never, { method: 'POST', path: '/rate', headers: { 'content-type': 'application/json', 'foxdeck-item': item }, body });
-      if (reply.status !== 200) return yield* new Fault({ step: 'rate', cohortMember: chosenRater.name, reason: `answered ${reply.status}` });
-      const bytes = yield* readBody(reply.body);
-      return yield* Effect.try({ try: () => JSON.parse(Buffer.from(bytes).toString('utf8')) as unknown, catch: (cause) => new Fault({ step: 'rate', cohortMember: chosenRater.name, reason: String(cause) }) });
-    })).pipe(Effect.timeoutFail({ duration: 10_000, onTimeout: () => new Fault({ step: 'rate', cohortMember: chosenRater.name, reason: 'gave no answer in time' }) }));
+    const rating = yield* Effect.scoped(
+      Effect.gen(function* () {
+        const reply = yield* context.http.call(chosenRater.address, {
+          method: 'POST',
+          path: '/rate',
+          headers: { 'content-type': 'application/json', 'foxdeck-item': item },
+          body,
+        });
+        if (reply.status !== 200)
+          return yield* new Fault({ step: 'rate', cohortMember: chosenRater.name, reason: `answered ${reply.status}` });
+        const bytes = yield* readBody(reply.body);
+        return yield* Effect.try({
+          try: () => JSON.parse(Buffer.from(bytes).toString('utf8')) as unknown,
+          catch: (cause) => new Fault({ step: 'rate', cohortMember: chosenRater.name, reason: String(cause) }),
+        });
+      }),
+    ).pipe(
+      Effect.timeoutFail({
+        duration: 10_000,
+        onTimeout: () => new Fault({ step: 'rate', cohortMember: chosenRater.name, reason: 'gave no answer in time' }),
+      }),
+    );
     yield* book.once(lot.keys.rating(item), { digest: lot.digestOf(text), rating });
     context.log.event('item_rated', { item, sampler: chosenRater.name });
     return true;
-  }).pipe(Effect.catchAll((fault) => Effect.gen(function* () {
-    options.context.log.event('rating_failed', { item: options.item, reason: fault.message });
-    yield* Effect.sleep(500);
-    return false;
-  })));
+  }).pipe(
+    Effect.catchAll((fault) =>
+      Effect.gen(function* () {
+        options.context.log.event('rating_failed', { item: options.item, reason: fault.message });
+        yield* Effect.sleep(500);
+        return false;
+      }),
+    ),
+  );
--- a/src/front/seaterState.ts
+++ b/src/front/seaterState.ts
@@ -50,12 +50,24 @@
 };
 
 const lateMs = 2500;
-const note: SamplerNote = { loading: false, closing: false, evacuateAt: Infinity, setAside: undefined, failedAt: -Infinity, window: [], unexplained: 0, idle: 0, heard: 0 };
+const note: SamplerNote = {
+  loading: false,
+  closing: false,
+  evacuateAt: Infinity,
+  setAside: undefined,
+  failedAt: -Infinity,
+  window: [],
+  unexplained: 0,
+  idle: 0,
+  heard: 0,
+};
 
 const noteOf = (state: SeaterState, sampler: string): SamplerNote => state.notes.get(sampler) ?? note;
 
-const withNote = (state: SeaterState, sampler: string, change: Partial<SamplerNote>): SeaterState =>
-  ({ ...state, notes: new Map(state.notes).set(sampler, { ...noteOf(state, sampler), ...change }) });
+const withNote = (state: SeaterState, sampler: string, change: Partial<SamplerNote>): SeaterState => ({
+  ...state,
+  notes: new Map(state.notes).set(sampler, { ...noteOf(state, sampler), ...change }),
+});
 
 const withItem = (state: SeaterState, key: string, change: Partial<SeatedItem>): SeaterState => {
   const item = state.items.get(key);
@@ -63,15 +75,21 @@
 };
 
 const interactiveOn = (state: SeaterState, sampler: string, now: number): number =>
-  [...state.permits.values()].filter((permit) => permit.sampler === sampler && permit.until > now).reduce((sum, permit) => sum + permit.burden, 0);
+  [...state.permits.values()]
+    .filter((permit) => permit.sampler === sampler && permit.until > now)
+    .reduce((sum, permit) => sum + permit.burden, 0);
 
 const cachedOn = (state: SeaterState, sampler: Announcement): number =>
-  [...state.items.values()].filter((item) => item.sampler === sampler.name && item.holderIncarnation === sampler.incarnation && item.state !== 'waiting')
+  [...state.items.values()]
+    .filter(
+      (item) =>
+        item.sampler === sampler.name && item.holderIncarnation === sampler.incarnation && item.state !== 'waiting',
+    )
     .reduce((sum, item) => sum + item.promptTokens + item.generated, 0);
 
 /**
- * Holds a late `kvUsed` against what was thought to be cached. Less is a silent eviction. More is a burden while it grows;
- * once it stands still it is the idle cache of finished texts, which the sampler gives up by itself, so it fades.
+ * Holds a late `kvUsed` against what was thought to be cached. Less is a silent eviction. More is a burden while it
+ * grows; once it stands still it is the idle cache of finished texts, which the sampler gives up by itself, so it fades.
  */
 const reconcile = (state: SeaterState, sampler: Announcement, now: number): SeaterState => {
   const before = noteOf(state, sampler.name);
@@ -85,7 +103,8 @@
   const next = withNote(state, sampler.name, { window, unexplained, idle: excess, heard: sampler.sequence });
   let missing = least - sampler.kvUsed;
   if (missing <= 0) return next;
-  const paused = [...next.items.values()].filter((item) => item.state === 'paused' && item.sampler === sampler.name && now - item.pausedAt > lateMs)
+  const paused = [...next.items.values()]
+    .filter((item) => item.state === 'paused' && item.sampler === sampler.name && now - item.pausedAt > lateMs)
     .sort((left, right) => left.pausedAt - right.pausedAt);
   let items = next.items;
   for (const item of paused) {
@@ -97,13 +116,24 @@
 };
 
 /** Why an active item may not stay where it runs, if so. */
-const mustLeave = (state: SeaterState, item: SeatedItem, sampler: Announcement, live: ReadonlyArray<Announcement>, now: number): string | undefined => {
+const mustLeave = (
+  state: SeaterState,
+  item: SeatedItem,
+  sampler: Announcement,
+  live: ReadonlyArray<Announcement>,
+  now: number,
+): string | undefined => {
   if (sampler.state === 'leaving') return 'sampler is leaving';
   if (sampler.incarnation !== item.holderIncarnation) return 'sampler restarted';
   const known = noteOf(state, sampler.name);
   if (!known.loading || now < known.evacuateAt) return undefined;
-  const elsewhere = live.some((other) => other.name !== sampler.name && other.state === 'ready' && !noteOf(state, other.name).loading
-    && (item.singleVersion ? other.version === sampler.version : other.version >= item.minVersion));
+  const elsewhere = live.some(
+    (other) =>
+      other.name !== sampler.name &&
+      other.state === 'ready' &&
+      !noteOf(state, other.name).loading &&
+      (item.singleVersion ? other.version === sampler.version : other.version >= item.minVersion),
+  );
   return elsewhere ? 'sampler loads weights' : undefined;
 };
 
@@ -112,37 +142,82 @@
   const sizes = new Map<string, { finished: number; size: number; probed: number | undefined }>();
   for (const item of state.items.values()) {
     const group = sizes.get(item.group) ?? { finished: 0, size: 0, probed: state.probes.get(item.group) };
-    sizes.set(item.group, { ...group, size: group.size + 1, finished: group.finished + (state.finished.has(item.key) ? 1 : 0) });
+    sizes.set(item.group, {
+      ...group,
+      size: group.size + 1,
+      finished: group.finished + (state.finished.has(item.key) ? 1 : 0),
+    });
   }
   return {
     items: state.items,
     groups: sizes,
     trainerStep,
-    samplers: new Map(samplers.map((sampler): [string, SeatedSampler] => {
-      const known = noteOf(state, sampler.name);
-      return [sampler.name, {
-        name: sampler.name, incarnation: sampler.incarnation, budget: sampler.budget, version: sampler.version,
-        ready: sampler.state === 'ready' && now - known.failedAt > 1000, loading: known.loading || known.setAside !== undefined, closing: known.closing,
-        interactive: interactiveOn(state, sampler.name, now), unexplained: known.unexplained,
-      }];
-    })),
+    samplers: new Map(
+      samplers.map((sampler): [string, SeatedSampler] => {
+        const known = noteOf(state, sampler.name);
+        return [
+          sampler.name,
+          {
+            name: sampler.name,
+            incarnation: sampler.incarnation,
+            budget: sampler.budget,
+            version: sampler.version,
+            ready: sampler.state === 'ready' && now - known.failedAt > 1000,
+            loading: known.loading || known.setAside !== undefined,
+            closing: known.closing,
+            interactive: interactiveOn(state, sampler.name, now),
+            unexplained: known.unexplained,
+          },
+        ];
+      }),
+    ),
   };
 };
 
 const openItems = (id: string, given: Lot, now: number): ReadonlyArray<SeatedItem> =>
   lot.itemsOf(given).map((each, order): SeatedItem => ({
-    key: lot.keys.item(id, each.group, each.item), lot: id, group: `${id}/${each.group}`, step: given.step, order, taskType: given.taskType,
-    minVersion: given.minVersion ?? 0, singleVersion: given.singleVersion ?? false, staleness: given.stalenessBound,
-    promptTokens: Math.ceil(each.prompt.length / 4), generated: 0, state: 'waiting', sampler: undefined, holderIncarnation: 0,
-    holderVersion: -1, version: 0, pausedAt: now, retryAt: 0,
+    key: lot.keys.item(id, each.group, each.item),
+    lot: id,
+    group: `${id}/${each.group}`,
+    step: given.step,
+    order,
+    taskType: given.taskType,
+    minVersion: given.minVersion ?? 0,
+    singleVersion: given.singleVersion ?? false,
+    staleness: given.stalenessBound,
+    promptTokens: Math.ceil(each.prompt.length / 4),
+    generated: 0,
+    state: 'waiting',
+    sampler: undefined,
+    holderIncarnation: 0,
+    holderVersion: -1,
+    version: 0,
+    pausedAt: now,
+    retryAt: 0,
   }));
 
 /** The seater's reducers. */
 export const seaterState = {
-  empty: { lots: new Map(), items: new Map(), finished: new Map(), probes: new Map(), notes: new Map(), permits: new Map() } satisfies SeaterState as SeaterState,
-  withNote, withItem, noteOf, mustLeave, reconcile, view, openItems, interactiveOn,
-  finish: (state: SeaterState, key: string, end: ItemResult['state']): SeaterState =>
-    ({ ...withItem(state, key, { state: 'done' }), finished: new Map(state.finished).set(key, end) }),
+  empty: {
+    lots: new Map(),
+    items: new Map(),
+    finished: new Map(),
+    probes: new Map(),
+    notes: new Map(),
+    permits: new Map(),
+  } satisfies SeaterState as SeaterState,
+  withNote,
+  withItem,
+  noteOf,
+  mustLeave,
+  reconcile,
+  view,
+  openItems,
+  interactiveOn,
+  finish: (state: SeaterState, key: string, end: ItemResult['state']): SeaterState => ({
+    ...withItem(state, key, { state: 'done' }),
+    finished: new Map(state.finished).set(key, end),
+  }),
   dropLot: (state: SeaterState, id: string): SeaterState => ({
     ...state,
     lots: new Map([...state.lots].filter(([key]) => key !== id)),
--- a/src/node/leases.ts
+++ b/src/node/leases.ts
@@ -45,27 +45,56 @@
   const duties = table<ReadonlyMap<string, Held>>(new Map());
   const undecided = table<{ readonly sequence: number; readonly since: number }>({ sequence: 0, since: 0 });
 
-  const asked = <A>(voter: Voter, ask: (disk: string) => ReturnType<typeof answers.ask>, read: (answer: Effect.Effect.Success<ReturnType<typeof links.ask>>) => A | undefined) =>
+  const asked = <A>(
+    voter: Voter,
+    ask: (disk: string) => ReturnType<typeof answers.ask>,
+    read: (answer: Effect.Effect.Success<ReturnType<typeof links.ask>>) => A | undefined,
+  ) =>
     Effect.gen(function* () {
       const node = options.nodes().find((each) => each.name === voter.name && each.disk === voter.disk);
       if (!node) return yield* new Fault({ step: 'lease', cohortMember: voter.name, reason: 'not present' });
-      const value = read(yield* links.ask(node.peer as never, ask(voter.disk), 1000));
+      const value = read(yield* links.ask(node.peer, ask(voter.disk), 1000));
       return value ?? (yield* new Fault({ step: 'lease', cohortMember: voter.name, reason: 'odd answer' }));
     });
   const fetch = (voter: Voter, sequence: number): Effect.Effect<void> =>
-    asked(voter, () => answers.ask({ case: 'since', value: { sequence } }), (answer) => (answer.kind.case === 'chosen' ? answer.kind.value : undefined)).pipe(
-      Effect.map((chosen) => register.learn(chosen.value)), Effect.ignore);
+    asked(
+      voter,
+      () => answers.ask({ case: 'since', value: { sequence } }),
+      (answer) => (answer.kind.case === 'chosen' ? answer.kind.value : undefined),
+    ).pipe(
+      Effect.map((chosen) => register.learn(chosen.value)),
+      Effect.ignore,
+    );
 
   const renewConfiguration = Effect.gen(function* () {
     const known = register.known();
     if (!known) return;
     const start = time.held();
     const electorate = { groups: [known.configuration.voters] };
-    const { answers: heard } = yield* gather(known.configuration.voters, (voter) =>
-      asked(voter, (disk) => answers.ask({ case: 'lease', value: { disk, holder: options.holder, address: options.peer, sequence: known.sequence } }),
-        (answer) => (answer.kind.case === 'lease' ? answer.kind.value : undefined)),
-    (all) => paxos.quorum(electorate, all.filter(({ answer }) => answer.granted).map(({ member }) => member)));
-    if (paxos.quorum(electorate, heard.filter(({ answer }) => answer.granted).map(({ member }) => member))) {
+    const { answers: heard } = yield* gather(
+      known.configuration.voters,
+      (voter) =>
+        asked(
+          voter,
+          (disk) =>
+            answers.ask({
+              case: 'lease',
+              value: { disk, holder: options.holder, address: options.peer, sequence: known.sequence },
+            }),
+          (answer) => (answer.kind.case === 'lease' ? answer.kind.value : undefined),
+        ),
+      (all) =>
+        paxos.quorum(
+          electorate,
+          all.filter(({ answer }) => answer.granted).map(({ member }) => member),
+        ),
+    );
+    if (
+      paxos.quorum(
+        electorate,
+        heard.filter(({ answer }) => answer.granted).map(({ member }) => member),
+      )
+    ) {
       const before = lease.get();
       lease.swap(() => ({ sequence: known.sequence, until: start + options.leaseMs }));
       if (before.until < start) log.event('lease_won', { sequence: known.sequence });
@@ -86,15 +115,40 @@
   const ask = (name: string, token: number, release: boolean) => {
     const voters = register.known()?.configuration.voters ?? [];
     const electorate = { groups: [voters] };
-    return Effect.map(gather(voters, (voter) =>
-      asked(voter, (disk) => answers.ask({ case: 'duty', value: { disk, duty: name, holder: options.holder, token, release } }),
-        (answer) => (answer.kind.case === 'duty' ? answer.kind.value : undefined)),
-    (all) => token > 0 && paxos.quorum(electorate, all.filter(({ answer }) => answer.granted).map(({ member }) => member))), ({ answers: heard }) => ({
-      won: voters.length > 0 && paxos.quorum(electorate, heard.filter(({ answer }) => answer.granted).map(({ member }) => member)),
-      taken: heard.some(({ answer }) => answer.holder !== '' && answer.holder !== options.holder),
-      majority: voters.length > 0 && paxos.quorum(electorate, heard.map(({ member }) => member)),
-      highest: Math.max(0, ...heard.map(({ answer }) => answer.token)),
-    }));
+    return Effect.map(
+      gather(
+        voters,
+        (voter) =>
+          asked(
+            voter,
+            (disk) =>
+              answers.ask({ case: 'duty', value: { disk, duty: name, holder: options.holder, token, release } }),
+            (answer) => (answer.kind.case === 'duty' ? answer.kind.value : undefined),
+          ),
+        (all) =>
+          token > 0 &&
+          paxos.quorum(
+            electorate,
+            all.filter(({ answer }) => answer.granted).map(({ member }) => member),
+          ),
+      ),
+      ({ answers: heard }) => ({
+        won:
+          voters.length > 0 &&
+          paxos.quorum(
+            electorate,
+            heard.filter(({ answer }) => answer.granted).map(({ member }) => member),
+          ),
+        taken: heard.some(({ answer }) => answer.holder !== '' && answer.holder !== options.holder),
+        majority:
+          voters.length > 0 &&
+          paxos.quorum(
+            electorate,
+            heard.map(({ member }) => member),
+          ),
+        highest: Math.max(0, ...heard.map(({ answer }) => answer.token)),
+      }),
+    );
   };
 
   const dutyToken = (name: string): number | undefined => {
@@ -107,32 +161,35 @@
     duty: dutyToken,
     held: () => [...duties.get().keys()].filter((name) => dutyToken(name) !== undefined),
     renewConfiguration,
-    acquire: (name, atLeast = 0) => Effect.gen(function* () {
-      if (!inForce()) return false;
-      const start = time.held();
-      const held = duties.get().get(name);
-      const current = held !== undefined && start < held.until - times.margin && held.token > atLeast ? held : undefined;
-      let token = current?.token;
-      if (token === undefined) {
-        const looked = yield* ask(name, 0, false);
-        if (looked.taken || !looked.majority) return false;
-        token = Math.max(looked.highest + 1, atLeast + 1, time.wall());
-      }
-      const { won } = yield* ask(name, token, false);
-      if (won) {
-        duties.swap((now) => new Map(now).set(name, { token, until: start + times.dutyMs }));
-        if (!current) log.event('duty_won', { duty: name, token });
+    acquire: (name, atLeast = 0) =>
+      Effect.gen(function* () {
+        if (!inForce()) return false;
+        const start = time.held();
+        const held = duties.get().get(name);
+        const current =
+          held !== undefined && start < held.until - times.margin && held.token > atLeast ? held : undefined;
+        let token = current?.token;
+        if (token === undefined) {
+          const looked = yield* ask(name, 0, false);
+          if (looked.taken || !looked.majority) return false;
+          token = Math.max(looked.highest + 1, atLeast + 1, time.wall());
+        }
+        const { won } = yield* ask(name, token, false);
+        if (won) {
+          duties.swap((now) => new Map(now).set(name, { token, until: start + times.dutyMs }));
+          if (!current) log.event('duty_won', { duty: name, token });
+          return dutyToken(name) !== undefined;
+        }
+        if (!current) yield* ask(name, token, true);
         return dutyToken(name) !== undefined;
-      }
-      if (!current) yield* ask(name, token, true);
-      return dutyToken(name) !== undefined;
-    }),
-    release: (name) => Effect.gen(function* () {
-      const held = duties.get().get(name);
-      if (!held) return;
-      duties.swap((now) => new Map([...now].filter(([duty]) => duty !== name)));
-      log.event('duty_released', { duty: name, token: held.token });
-      yield* ask(name, held.token, true);
-    }),
+      }),
+    release: (name) =>
+      Effect.gen(function* () {
+        const held = duties.get().get(name);
+        if (!held) return;
+        duties.swap((now) => new Map([...now].filter(([duty]) => duty !== name)));
+        log.event('duty_released', { duty: name, token: held.token });
+        yield* ask(name, held.token, true);
+      }),
   };
 };
--- a/src/node/news.ts
+++ b/src/node/news.ts
@@ -1,7 +1,16 @@
 import { create } from '@bufbuild/protobuf';
 import { Effect, FiberMap, type Context, type Scope } from 'effect';
-import { EntrySchema, MarkSchema, PullSchema, type Answer, type Entry, type Pull } from '../gen/foxdeck_pb.js';
+import {
+  EntrySchema,
+  MarkSchema,
+  PullSchema,
+  type Answer,
+  type Entry,
+  type Mark,
+  type Pull,
+} from '../gen/foxdeck_pb.js';
 import { answers } from '../shared/answers.js';
+import type { Address } from '../shared/brands.js';
 import type { Links } from '../shared/links.js';
 import { rendezvous } from '../shared/rendezvous.js';
 import { table } from '../shared/table.js';
@@ -14,8 +23,8 @@
   readonly name: string;
   readonly domain: string;
   readonly roles: ReadonlyArray<string>;
-  readonly peer: string;
-  readonly http: string;
+  readonly peer: Address;
+  readonly http: Address;
   readonly state: 'ready' | 'draining' | 'waiting';
   readonly sequence: number;
   readonly disk: string;
@@ -27,7 +36,7 @@
 export type Announcement = {
   readonly name: string;
   readonly service: string;
-  readonly address: string;
+  readonly address: Address;
   readonly domain: string;
   readonly state: 'starting' | 'ready' | 'draining' | 'leaving';
   readonly version: number;
@@ -39,7 +48,14 @@
 
 /** The soft state that nodes tell one another, each entry under a lease. */
 export type News = {
-  readonly tell: (entry: { source: string; incarnation: number; sequence: number; kind: string; body: unknown; left: number }) => boolean;
+  readonly tell: (entry: {
+    source: string;
+    incarnation: number;
+    sequence: number;
+    kind: string;
+    body: unknown;
+    left: number;
+  }) => boolean;
   readonly nodes: () => ReadonlyArray<Presence>;
   readonly samplers: () => ReadonlyArray<Announcement>;
   readonly ended: () => ReadonlyArray<string>;
@@ -52,14 +68,17 @@
 const cohortSize = 4;
 const tombstoneMs = 60_000;
 
-const newer = (left: { incarnation: number; sequence: number }, right: { incarnation: number; sequence: number }): boolean =>
+const newer = (
+  left: { incarnation: number; sequence: number },
+  right: { incarnation: number; sequence: number },
+): boolean =>
   left.incarnation > right.incarnation || (left.incarnation === right.incarnation && left.sequence > right.sequence);
 
 /** Makes a node's news; `run` pulls from the cohort until its scope closes. */
 export const makeNews = (options: {
   readonly name: string;
-  readonly peer: string;
-  readonly seeds: ReadonlyArray<string>;
+  readonly peer: Address;
+  readonly seeds: ReadonlyArray<Address>;
   readonly links: Context.Tag.Service<typeof Links>;
   readonly time: Context.Tag.Service<typeof Timepiece>;
   readonly changed: () => void;
@@ -92,28 +111,54 @@
     if (taken) options.changed();
     return taken;
   };
+  const seen = new Map<
+    string,
+    { readonly from: ReadonlyMap<string, Held>; readonly until: number; readonly bodies: ReadonlyArray<unknown> }
+  >();
+  /** What lives of one kind; it stays the same array until an entry is taken or ends. */
   const live = <T>(kind: string): ReadonlyArray<T> => {
     const now = time.held();
-    return [...held.get().values()].filter(({ entry, until }) => entry.kind === kind && until > now).map(({ entry }) => bodyOf<T>(entry));
+    const from = held.get();
+    const known = seen.get(kind);
+    if (known && known.from === from && now < known.until) return known.bodies as ReadonlyArray<T>;
+    const alive = [...from.values()].filter(({ entry, until }) => entry.kind === kind && until > now);
+    const bodies = alive.map(({ entry }) => bodyOf<T>(entry));
+    seen.set(kind, { from, until: Math.min(Infinity, ...alive.map(({ until }) => until)), bodies });
+    return bodies;
+  };
+  let marked: { readonly from: ReadonlyMap<string, Held>; readonly marks: Mark[] } | undefined;
+  const marks = (): Mark[] => {
+    const from = held.get();
+    if (marked?.from !== from) {
+      marked = {
+        from,
+        marks: [...from.values()].map(({ entry }) =>
+          create(MarkSchema, { source: entry.source, incarnation: entry.incarnation, sequence: entry.sequence }),
+        ),
+      };
+    }
+    return marked.marks;
   };
-  const marks = () => [...held.get().values()].map(({ entry }) =>
-    create(MarkSchema, { source: entry.source, incarnation: entry.incarnation, sequence: entry.sequence }));
 
   const introduced = (): Entry | undefined => {
     const own = held.get().get(`node/${options.name}`);
     return own && create(EntrySchema, { ...own.entry, left: Math.max(0, Math.floor(own.until - time.held())) });
   };
-  const pull = (address: string): Effect.Effect<void> =>
+  const pull = (address: Address): Effect.Effect<void> =>
     Effect.gen(function* () {
       const askedAt = time.held();
       const ask = answers.ask({ case: 'pull', value: create(PullSchema, { known: marks(), self: introduced() }) });
-      const answer = yield* links.ask(address as never, ask, 1000);
-      if (answer.kind.case === 'news') take(answer.kind.value.entries.map((entry) => ({ entry, until: askedAt + entry.left })));
+      const answer = yield* links.ask(address, ask, 1000);
+      if (answer.kind.case === 'news')
+        take(answer.kind.value.entries.map((entry) => ({ entry, until: askedAt + entry.left })));
     }).pipe(Effect.ignore);
 
-  const cohort = (): ReadonlyArray<string> => {
+  const cohort = (): ReadonlyArray<Address> => {
     const others = live<Presence>('node').filter((node) => node.name !== options.name);
-    const chosen = rendezvous(options.name, others.map((node) => node.name)).slice(0, cohortSize);
+    const chosen = rendezvous(
+      options.name,
+      others.map((node) => node.name),
+    ).slice(0, cohortSize);
     const near = others.filter((node) => chosen.includes(node.name)).map((node) => node.peer);
     const seeds = options.seeds.filter((seed) => seed !== options.peer);
     const seed = seeds[Math.floor(time.chance() * seeds.length)];
@@ -134,19 +179,24 @@
       const known = new Map(asked.known.map((mark) => [mark.source, mark]));
       const entries = [...held.get().values()].flatMap(({ entry, until }) => {
         const mark = known.get(entry.source);
-        return until > now && (mark === undefined || newer(entry, mark)) ? [create(EntrySchema, { ...entry, left: Math.floor(until - now) })] : [];
+        return until > now && (mark === undefined || newer(entry, mark))
+          ? [create(EntrySchema, { ...entry, left: Math.floor(until - now) })]
+          : [];
       });
       return answers.answer({ case: 'news', value: { entries } });
     },
     run: Effect.gen(function* () {
-      const tasks = yield* FiberMap.make<string>();
-      const watch = (address: string): Effect.Effect<void> => Effect.forever(Effect.zipRight(pull(address), Effect.sleep(pullMs * (0.75 + time.chance() * 0.5))));
-      yield* Effect.forever(Effect.gen(function* () {
-        const wanted = cohort();
-        for (const [address] of tasks) if (!wanted.includes(address)) yield* FiberMap.remove(tasks, address);
-        for (const address of wanted) yield* FiberMap.run(tasks, address, watch(address), { onlyIfMissing: true });
-        yield* Effect.sleep(700);
-      }));
+      const tasks = yield* FiberMap.make<Address>();
+      const watch = (address: Address): Effect.Effect<void> =>
+        Effect.forever(Effect.zipRight(pull(address), Effect.sleep(pullMs * (0.75 + time.chance() * 0.5))));
+      yield* Effect.forever(
+        Effect.gen(function* () {
+          const wanted = cohort();
+          for (const [address] of tasks) if (!wanted.includes(address)) yield* FiberMap.remove(tasks, address);
+          for (const address of wanted) yield* FiberMap.run(tasks, address, watch(address), { onlyIfMissing: true });
+          yield* Effect.sleep(700);
+        }),
+      );
     }),
   };
 };
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -1,21 +1,16 @@
-import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import { Effect, FiberMap, type Scope } from 'effect';
 import { makeFace } from '../front/face.js';
-import { makeSeater, type Seater } from '../front/seater.js';
-import { paxos } from '../core/paxos.js';
+import type { Seater } from '../front/seater.js';
 import { openRecords } from '../core/records.js';
 import { makeRegister } from '../core/register.js';
 import { makeVoter, type Voter } from '../core/voter.js';
-import { DiskIdentitySchema, type Answer, type Ask } from '../gen/foxdeck_pb.js';
+import type { Answer, Ask } from '../gen/foxdeck_pb.js';
 import { answers } from '../shared/answers.js';
-import { brands } from '../shared/brands.js';
 import { Disk } from '../shared/disk.js';
 import { Fault } from '../shared/fault.js';
 import { Http } from '../shared/http.js';
 import { Links } from '../shared/links.js';
 import { Log } from '../shared/log.js';
-import { rendezvous } from '../shared/rendezvous.js';
-import { sealedFiles } from '../shared/sealedFiles.js';
 import type { Settings } from '../shared/settings.js';
 import { table } from '../shared/table.js';
 import { Timepiece } from '../shared/timepiece.js';
@@ -24,8 +19,9 @@
 import { makeLeases } from './leases.js';
 import { makeNews, type Presence } from './news.js';
 import type { NodeContext } from './nodeContext.js';
-import { makeSteward } from './steward.js';
-import { sweepStores, type Swept } from './sweep.js';
+import { makeDuties, type LastSweep } from './duties.js';
+import { openDisk } from './openDisk.js';
+import { makeUpkeep } from './upkeep.js';
 
 /** A running node. */
 export type Node = {
@@ -37,27 +33,10 @@
 const presenceMs = 400;
 const presenceLeaseMs = 2500;
 
-type OpenedDisk = { readonly id: string; readonly fresh: boolean };
-
-const openDisk = (name: string): Effect.Effect<OpenedDisk, Fault, Disk | Timepiece | Log> =>
-  Effect.gen(function* () {
-    const disk = yield* Disk;
-    const time = yield* Timepiece;
-    const log = yield* Log;
-    yield* disk.makeFolder('.');
-    if ((yield* disk.list('.')).includes('identity')) {
-      const identity = fromBinary(DiskIdentitySchema, yield* sealedFiles.read('.', 'identity'));
-      if (identity.node !== name) return yield* new Fault({ step: 'open disk', reason: `the data folder is ${identity.node}'s, not ${name}'s` });
-      return { id: identity.id, fresh: false };
-    }
-    const id = time.identity();
-    yield* sealedFiles.write('.', 'identity', toBinary(DiskIdentitySchema, create(DiskIdentitySchema, { id, node: name })));
-    log.event('disk_formatted', { disk: id });
-    return { id, fresh: true };
-  });
-
 /** Starts a node's tasks; they end with the scope. */
-export const startNode = (settings: Settings): Effect.Effect<Node, Fault, Scope.Scope | Disk | Links | Http | Log | Timepiece> =>
+export const startNode = (
+  settings: Settings,
+): Effect.Effect<Node, Fault, Scope.Scope | Disk | Links | Http | Log | Timepiece> =>
   Effect.gen(function* () {
     const [links, http, log, time] = [yield* Links, yield* Http, yield* Log, yield* Timepiece];
     const incarnation = time.wall();
@@ -65,193 +44,245 @@
     const has = (role: 'front' | 'store' | 'core'): boolean => settings.roles.includes(role);
     const phase = table<Presence['state']>('waiting');
     const seaters = table<ReadonlyMap<string, Seater>>(new Map());
-    const lastSweep = table<{ readonly swept: Swept | undefined; readonly clean: string | undefined }>({ swept: undefined, clean: undefined });
+    const lastSweep = table<LastSweep>({
+      swept: undefined,
+      clean: undefined,
+    });
     let announce = (): void => undefined;
     const scopes = yield* FiberMap.make<string>();
 
     const disk = settings.data === undefined ? undefined : yield* openDisk(settings.name);
-    const news = makeNews({ name: settings.name, peer: settings.peer, seeds: settings.seeds, links, time, changed: () => undefined });
+    const news = makeNews({
+      name: settings.name,
+      peer: settings.peer,
+      seeds: settings.seeds,
+      links,
+      time,
+      changed: () => undefined,
+    });
     const register = makeRegister({
-      name: holder, proposer: holder, leaseMs: settings.leaseMs, links, time, log, nodes: news.nodes,
+      name: holder,
+      proposer: holder,
+      leaseMs: settings.leaseMs,
+      links,
+      time,
+      log,
+      nodes: news.nodes,
       learnt: (known) => {
         log.event('configuration_applied', { sequence: known.sequence });
         announce();
       },
     });
-    const leases = makeLeases({ name: settings.name, holder, peer: settings.peer, leaseMs: settings.leaseMs, register, links, time, log, nodes: news.nodes });
-    const archive = makeArchive({ proposer: holder, configuration: () => register.known()?.configuration, nodes: news.nodes, links, time });
+    const leases = makeLeases({
+      name: settings.name,
+      holder,
+      peer: settings.peer,
+      leaseMs: settings.leaseMs,
+      register,
+      links,
+      time,
+      log,
+      nodes: news.nodes,
+    });
+    const archive = makeArchive({
+      proposer: holder,
+      configuration: () => register.known()?.configuration,
+      nodes: news.nodes,
+      links,
+      time,
+    });
 
-    const voter: Voter | undefined = has('core') && disk ? makeVoter({
-      disk: disk.id, records: yield* openRecords('register', log), restarted: !disk.fresh, leaseMs: settings.leaseMs, dutyLeaseMs: 3000, time, log, learnt: register.learn,
-    }) : undefined;
-    const shelf: Shelf | undefined = has('store') && disk ? yield* openShelf({
-      disk: disk.id, folder: 'checkpoints', records: yield* openRecords('records', log), configuration: () => register.known()?.configuration, log,
-    }) : undefined;
+    const voter: Voter | undefined =
+      has('core') && disk
+        ? makeVoter({
+            disk: disk.id,
+            records: yield* openRecords('register', log),
+            restarted: !disk.fresh,
+            leaseMs: settings.leaseMs,
+            dutyLeaseMs: 3000,
+            time,
+            log,
+            learnt: register.learn,
+          })
+        : undefined;
+    const shelf: Shelf | undefined =
+      has('store') && disk
+        ? yield* openShelf({
+            disk: disk.id,
+            folder: 'checkpoints',
+            records: yield* openRecords('records', log),
+            configuration: () => register.known()?.configuration,
+            log,
+          })
+        : undefined;
     const chosen = voter?.chosen();
     if (chosen) register.learn(chosen.value);
 
-    const askSeater: NodeContext['seater'] = (service, call, body) => Effect.gen(function* () {
-      const own = seaters.get().get(service);
-      if (own && leases.duty(`seat/${service}`) !== undefined) return yield* own.handle(call, body);
-      const node = news.nodes().find((each) => each.name !== settings.name && each.duties.includes(`seat/${service}`));
-      if (!node) return yield* new Fault({ step: 'find seater', reason: `${service} has no seater at the moment` });
-      const answer = yield* links.ask(brands.address(node.peer), answers.ask({ case: 'seater', value: { service, call, body: JSON.stringify(body) } }), 3000);
-      if (answer.kind.case === 'seater') return JSON.parse(answer.kind.value.body) as unknown;
-      return yield* new Fault({ step: 'seater', cohortMember: node.name, reason: answer.kind.case === 'bounce' ? answer.kind.value.reason : 'odd answer' });
-    });
+    const askSeater: NodeContext['seater'] = (service, call, body) =>
+      Effect.gen(function* () {
+        const own = seaters.get().get(service);
+        if (own && leases.duty(`seat/${service}`) !== undefined) return yield* own.handle(call, body);
+        const node = news
+          .nodes()
+          .find((each) => each.name !== settings.name && each.duties.includes(`seat/${service}`));
+        if (!node) return yield* new Fault({ step: 'find seater', reason: `${service} has no seater at the moment` });
+        const answer = yield* links.ask(
+          node.peer,
+          answers.ask({ case: 'seater', value: { service, call, body: JSON.stringify(body) } }),
+          3000,
+        );
+        if (answer.kind.case === 'seater') return JSON.parse(answer.kind.value.body) as unknown;
+        return yield* new Fault({
+          step: 'seater',
+          cohortMember: node.name,
+          reason: answer.kind.case === 'bounce' ? answer.kind.value.reason : 'odd answer',
+        });
+      });
 
-    const draining = (on: boolean): Effect.Effect<void> => Effect.gen(function* () {
-      phase.swap(() => (on ? 'draining' : has('front') ? 'waiting' : 'ready'));
-      announce();
-      if (!on) return;
-      log.event('draining', { duties: leases.held().join(',') });
-      for (const name of leases.held()) {
-        yield* FiberMap.remove(scopes, name);
-        yield* leases.release(name);
-      }
-      announce();
-    });
+    const draining = (on: boolean): Effect.Effect<void> =>
+      Effect.gen(function* () {
+        phase.swap(() => (on ? 'draining' : has('front') ? 'waiting' : 'ready'));
+        announce();
+        if (!on) return;
+        log.event('draining', { duties: leases.held().join(',') });
+        for (const name of leases.held()) {
+          yield* FiberMap.remove(scopes, name);
+          yield* leases.release(name);
+        }
+        announce();
+      });
     const context: NodeContext = {
-      settings, news, register, leases, archive, http, links, log, time, state: phase.get, draining, seater: askSeater,
-      events: (filter) => Effect.gen(function* () {
-        const heard = yield* Effect.forEach(news.nodes().filter((node) => node.name !== settings.name), (node) =>
-          links.ask(brands.address(node.peer), answers.ask({ case: 'events', value: filter }), 1000).pipe(
-            Effect.map((answer) => ({ name: node.name, lines: answer.kind.case === 'events' ? answer.kind.value.lines : [] })),
-            Effect.catchAll(() => Effect.succeed({ name: node.name, lines: undefined }))), { concurrency: 'unbounded' });
-        const lines = [...log.recent(filter), ...heard.flatMap((each) => each.lines ?? [])].sort().slice(-filter.most);
-        return { lines, silent: heard.flatMap((each) => (each.lines === undefined ? [each.name] : [])) };
-      }),
+      settings,
+      news,
+      register,
+      leases,
+      archive,
+      http,
+      links,
+      log,
+      time,
+      state: phase.get,
+      draining,
+      seater: askSeater,
+      events: (filter) =>
+        Effect.gen(function* () {
+          const heard = yield* Effect.forEach(
+            news.nodes().filter((node) => node.name !== settings.name),
+            (node) =>
+              links.ask(node.peer, answers.ask({ case: 'events', value: filter }), 1000).pipe(
+                Effect.map((answer) => ({
+                  name: node.name,
+                  lines: answer.kind.case === 'events' ? answer.kind.value.lines : [],
+                })),
+                Effect.catchAll(() => Effect.succeed({ name: node.name, lines: undefined })),
+              ),
+            { concurrency: 'unbounded' },
+          );
+          const lines = [...log.recent(filter), ...heard.flatMap((each) => each.lines ?? [])]
+            .sort()
+            .slice(-filter.most);
+          return { lines, silent: heard.flatMap((each) => (each.lines === undefined ? [each.name] : [])) };
+        }),
       facts: () => ({
-        node: settings.name, domain: settings.domain, roles: settings.roles, state: phase.get(), sequence: register.known()?.sequence ?? 0,
-        inForce: leases.inForce(), duties: leases.held(), nodes: news.nodes().length, samplers: news.samplers().length,
-        store: shelf?.size(), sweep: lastSweep.get(), counts: log.counts(),
+        node: settings.name,
+        domain: settings.domain,
+        roles: settings.roles,
+        state: phase.get(),
+        sequence: register.known()?.sequence ?? 0,
+        inForce: leases.inForce(),
+        duties: leases.held(),
+        nodes: news.nodes().length,
+        samplers: news.samplers().length,
+        store: shelf?.size(),
+        sweep: lastSweep.get(),
+        counts: log.counts(),
       }),
     };
     const face = makeFace(context);
 
     const presence = (): Presence => ({
-      name: settings.name, domain: settings.domain, roles: settings.roles, peer: settings.peer, http: settings.http, state: phase.get(),
-      sequence: register.known()?.sequence ?? 0, disk: disk?.id ?? '', coreFresh: voter?.fresh() ?? false, duties: leases.held(),
+      name: settings.name,
+      domain: settings.domain,
+      roles: settings.roles,
+      peer: settings.peer,
+      http: settings.http,
+      state: phase.get(),
+      sequence: register.known()?.sequence ?? 0,
+      disk: disk?.id ?? '',
+      coreFresh: voter?.fresh() ?? false,
+      duties: leases.held(),
     });
     const telling = table(0);
-    announce = () => void news.tell({
-      source: `node/${settings.name}`, incarnation, sequence: telling.swap((number) => number + 1), kind: 'node', body: presence(), left: presenceLeaseMs,
-    });
+    announce = () =>
+      void news.tell({
+        source: `node/${settings.name}`,
+        incarnation,
+        sequence: telling.swap((number) => number + 1),
+        kind: 'node',
+        body: presence(),
+        left: presenceLeaseMs,
+      });
 
     const handle = (ask: Ask): Effect.Effect<Answer> => {
       const { kind } = ask;
       const work: Effect.Effect<Answer, Fault> = Effect.suspend(() => {
         switch (kind.case) {
-          case 'pull': return Effect.sync(() => news.handle(kind.value));
+          case 'pull':
+            return Effect.sync(() => news.handle(kind.value));
           case 'seater': {
             const own = seaters.get().get(kind.value.service);
             if (!own) return Effect.succeed(answers.bounce('seater', 'not the seater'));
-            return Effect.map(own.handle(kind.value.call, JSON.parse(kind.value.body)), (body) => answers.answer({ case: 'seater', value: { body: JSON.stringify(body) } }));
+            return Effect.map(own.handle(kind.value.call, JSON.parse(kind.value.body)), (body) =>
+              answers.answer({ case: 'seater', value: { body: JSON.stringify(body) } }),
+            );
           }
-          case 'events': return Effect.sync(() => answers.answer({ case: 'events', value: { lines: [...log.recent(kind.value)] } }));
+          case 'events':
+            return Effect.sync(() => answers.answer({ case: 'events', value: { lines: [...log.recent(kind.value)] } }));
         }
         const byVoter = voter?.handle(ask);
         if (byVoter?._tag === 'Some') return byVoter.value;
         const byShelf = shelf?.handle(ask);
         if (byShelf?._tag === 'Some') return byShelf.value;
-        if (kind.case === 'learn') return Effect.sync(() => {
-          register.learn(kind.value.value);
-          return answers.done();
-        });
-        if (kind.case === 'since') return Effect.sync(() => {
-          const known = register.known();
-          return known && known.sequence > kind.value.sequence
-            ? answers.answer({ case: 'chosen', value: { sequence: known.sequence, value: known.value } }) : answers.bounce('since', 'nothing later');
-        });
+        if (kind.case === 'learn')
+          return Effect.sync(() => {
+            register.learn(kind.value.value);
+            return answers.done();
+          });
+        if (kind.case === 'since')
+          return Effect.sync(() => {
+            const known = register.known();
+            return known && known.sequence > kind.value.sequence
+              ? answers.answer({ case: 'chosen', value: { sequence: known.sequence, value: known.value } })
+              : answers.bounce('since', 'nothing later');
+          });
         return Effect.succeed(answers.bounce('ask', `${kind.case ?? 'nothing'} is not answered here`));
       });
-      return Effect.catchAllCause(work, (cause) => Effect.sync(() => {
-        const reason = cause._tag === 'Fail' ? cause.error.message : String(cause).slice(0, 200);
-        if (cause._tag !== 'Fail') log.event('ask_failed', { ask: kind.case ?? '', reason });
-        return answers.bounce(cause._tag === 'Fail' ? cause.error.step : 'ask', reason);
-      }));
+      return Effect.catchAllCause(work, (cause) =>
+        Effect.sync(() => {
+          const reason = cause._tag === 'Fail' ? cause.error.message : String(cause).slice(0, 200);
+          if (cause._tag !== 'Fail') log.event('ask_failed', { ask: kind.case ?? '', reason });
+          return answers.bounce(cause._tag === 'Fail' ? cause.error.step : 'ask', reason);
+        }),
+      );
     };
 
     const task = (step: string, everyMs: number, work: Effect.Effect<unknown, unknown, Scope.Scope>) =>
-      Effect.forkScoped(Effect.forever(Effect.zipRight(
-        Effect.catchAllCause(work, (cause) => Effect.sync(() => log.event('task_failed', { step, reason: String(cause).slice(0, 300) }))),
-        Effect.suspend(() => Effect.sleep(everyMs * (0.9 + 0.2 * time.chance()))))));
+      Effect.forkScoped(
+        Effect.forever(
+          Effect.zipRight(
+            Effect.catchAllCause(work, (cause) =>
+              Effect.sync(() => log.event('task_failed', { step, reason: String(cause).slice(0, 300) })),
+            ),
+            Effect.suspend(() => Effect.sleep(everyMs * (0.9 + 0.2 * time.chance()))),
+          ),
+        ),
+      );
 
-    const founding = Effect.gen(function* () {
-      if (!voter || !voter.fresh() || register.known()) return;
-      const founders = news.nodes().filter((node) => node.roles.includes('core') && node.coreFresh && node.sequence === 0 && node.disk !== '');
-      if (founders.length !== settings.foundingCores || news.nodes().some((node) => node.sequence > 0)) return;
-      const names = founders.map((node) => node.name).sort();
-      if (names[0] !== settings.name && time.chance() < 0.9) return;
-      yield* Effect.ignore(register.found(names.map((name) => ({ name, disk: founders.find((node) => node.name === name)!.disk }))));
-    });
-    const follow = Effect.gen(function* () {
-      const sequence = register.known()?.sequence ?? 0;
-      const ahead = news.nodes().filter((node) => node.sequence > sequence).sort((left, right) => right.sequence - left.sequence)[0];
-      if (!ahead) return;
-      const answer = yield* links.ask(brands.address(ahead.peer), answers.ask({ case: 'since', value: { sequence: ahead.sequence - 1 } }), 1000);
-      if (answer.kind.case === 'chosen') register.learn(answer.kind.value.value);
-    });
-    const backfill = Effect.gen(function* () {
-      for (const sequence of voter?.missing() ?? []) {
-        for (const node of news.nodes().filter((each) => each.roles.includes('core') && each.name !== settings.name)) {
-          const answer = yield* links.ask(brands.address(node.peer), answers.ask({ case: 'since', value: { sequence: sequence - 1 } }), 1000);
-          if (answer.kind.case !== 'chosen' || answer.kind.value.sequence !== sequence) continue;
-          yield* handle(answers.ask({ case: 'learn', value: { role: 'core', disk: disk!.id, key: `config/${sequence}`, ballot: { round: 1, proposer: '' }, value: answer.kind.value.value } }));
-          break;
-        }
-      }
-      const known = register.known();
-      if (voter && known && known.sequence > (voter.chosen()?.sequence ?? 0)) {
-        yield* handle(answers.ask({ case: 'learn', value: { role: 'core', disk: disk!.id, key: `config/${known.sequence}`, ballot: { round: 1, proposer: '' }, value: known.value } }));
-      }
-    });
+    const { founding, follow, backfill } = makeUpkeep({ context, voter, disk, handle });
+    const duties = makeDuties({ context, seaters, scopes, lastSweep, task, announce: () => announce() });
 
-    const duty = (name: string, doing: (token: number) => Effect.Effect<void, never, Scope.Scope>): Effect.Effect<void> =>
-      Effect.gen(function* () {
-        const fronts = news.nodes().filter((node) => node.roles.includes('front') && node.state === 'ready').map((node) => node.name);
-        const before = leases.duty(name);
-        if (phase.get() !== 'ready') return;
-        if (before === undefined && rendezvous(name, fronts)[0] !== settings.name) return;
-        yield* leases.acquire(name);
-        const token = leases.duty(name);
-        if (token === undefined || token === before) return;
-        announce();
-        yield* FiberMap.run(scopes, name, Effect.scoped(Effect.gen(function* () {
-          yield* doing(token);
-          while (leases.duty(name) === token) yield* Effect.sleep(50);
-          log.event('duty_lost', { duty: name, token });
-        })));
-      });
-    const seat = (service: string) => duty(`seat/${service}`, (token) => Effect.gen(function* () {
-      const seater = makeSeater(context, service, token);
-      seaters.swap((now) => new Map(now).set(service, seater));
-      yield* Effect.addFinalizer(() => Effect.sync(() => seaters.swap((now) => (now.get(service) === seater ? new Map([...now].filter(([name]) => name !== service)) : now))));
-      yield* seater.run;
-    }));
-    const sweeping = (token: number) => task('sweep', 3000, Effect.gen(function* () {
-      const stores = register.known()?.configuration.stores;
-      const moving = (stores?.previous.length ?? 0) > 0;
-      if (!stores || stores.current.length === 0) return;
-      if (moving) yield* Effect.sleep(settings.leaseMs);
-      const swept = yield* sweepStores(context, () => leases.duty('sweep') === token, moving ? 2 : 5);
-      lastSweep.swap((before) => ({ swept, clean: swept.left === 0 && swept.mended === 0 && swept.silent.length === 0 ? new Date(time.wall()).toISOString() : before.clean }));
-      if (swept.mended > 0 || swept.left > 0) log.event('swept', { records: swept.records, mended: swept.mended, left: swept.left, silent: swept.silent.map((store) => store.name).join(',') });
-      const absent = swept.silent.filter((silent) => stores.current.some((store) => paxos.same(store, silent)));
-      if (moving && swept.left === 0 && swept.mended === 0 && absent.length === 0 && register.known()?.configuration.stores.epoch === swept.epoch) {
-        const outcome = yield* register.change(Buffer.from(JSON.stringify({ id: `stores-settled/${swept.epoch}`, settledEpoch: swept.epoch })));
-        log.event('stores_settled', { epoch: swept.epoch, outcome: outcome.state });
-      }
-    }));
-    const duties = Effect.gen(function* () {
-      const services = Object.entries(register.known()?.configuration.services ?? {}).filter(([, service]) => service.kind === 'model');
-      yield* Effect.forEach([...services.map(([service]) => seat(service)),
-        duty('calendar', (token) => task('calendar', 500, makeSteward(context, () => leases.duty('calendar') === token))),
-        duty('sweep', (token) => sweeping(token))], (each) => each, { concurrency: 'unbounded' });
-    });
-
-    yield* links.serve(brands.address(settings.peer), handle);
-    yield* http.serve(brands.address(settings.http), face.handle, settings.bodyLimit);
+    yield* links.serve(settings.peer, handle);
+    yield* http.serve(settings.http, face.handle, settings.bodyLimit);
     announce();
     yield* Effect.forkScoped(news.run);
     yield* task('presence', presenceMs, Effect.sync(announce));
@@ -259,25 +290,30 @@
     if (voter) yield* task('founding', 500, founding);
     if (voter) yield* task('backfill', 1000, Effect.ignore(backfill));
     if (has('front')) {
-      yield* task('lease', 500, Effect.gen(function* () {
-        yield* leases.renewConfiguration;
-        if (phase.get() === 'waiting' && leases.inForce()) {
-          phase.swap(() => 'ready');
-          announce();
-        }
-      }));
+      yield* task(
+        'lease',
+        500,
+        Effect.gen(function* () {
+          yield* leases.renewConfiguration;
+          if (phase.get() === 'waiting' && leases.inForce()) {
+            phase.swap(() => 'ready');
+            announce();
+          }
+        }),
+      );
       yield* task('duties', 600, duties);
     } else phase.swap(() => 'ready');
     log.event('started', { roles: settings.roles.join(','), peer: settings.peer, http: settings.http, disk: disk?.id });
 
     return {
       context,
-      drain: (mostMs) => Effect.gen(function* () {
-        yield* draining(true);
-        const until = time.held() + mostMs;
-        yield* Effect.sleep(700);
-        while (face.inFlight() > 0 && time.held() < until) yield* Effect.sleep(50);
-        log.event('drained', { inFlight: face.inFlight() });
-      }),
+      drain: (mostMs) =>
+        Effect.gen(function* () {
+          yield* draining(true);
+          const until = time.held() + mostMs;
+          yield* Effect.sleep(700);
+          while (face.inFlight() > 0 && time.held() < until) yield* Effect.sleep(50);
+          log.event('drained', { inFlight: face.inFlight() });
+        }),
     };
   });
--- a/src/node/nodeContext.ts
+++ b/src/node/nodeContext.ts
@@ -23,7 +23,12 @@
   /** Asks a service's seater, wherever it is. */
   readonly seater: (service: string, call: string, body: unknown) => Effect.Effect<unknown, Fault>;
   /** The fleet's events, with the nodes that did not answer. */
-  readonly events: (filter: { from: number; until: number; about: string; most: number }) => Effect.Effect<{ readonly lines: ReadonlyArray<string>; readonly silent: ReadonlyArray<string> }>;
+  readonly events: (filter: {
+    from: number;
+    until: number;
+    about: string;
+    most: number;
+  }) => Effect.Effect<{ readonly lines: ReadonlyArray<string>; readonly silent: ReadonlyArray<string> }>;
   readonly facts: () => Readonly<Record<string, unknown>>;
   readonly http: Context.Tag.Service<typeof Http>;
   readonly links: Context.Tag.Service<typeof Links>;
--- a/src/node/steward.ts
+++ b/src/node/steward.ts
@@ -1,4 +1,5 @@
 import { Effect } from 'effect';
+import type { Change } from '../shared/configuration.js';
 import { Fault } from '../shared/fault.js';
 import { table } from '../shared/table.js';
 import { movesOf } from './movesOf.js';
@@ -10,11 +11,16 @@
 export const makeSteward = (context: NodeContext, held: () => boolean): Effect.Effect<void, Fault> => {
   const { register, news, time, log } = context;
   const lastSeen = table<ReadonlyMap<string, number>>(new Map());
-  const submit = (document: { readonly id: string }, step: string): Effect.Effect<void> =>
+  const submit = (document: Change, step: string): Effect.Effect<void> =>
     Effect.gen(function* () {
       if (!held()) return;
       const outcome = yield* register.change(Buffer.from(JSON.stringify(document)));
-      const reason = outcome.state === 'bounced' ? outcome.reasons.map((each) => `${each.path}: ${each.message}`).join('; ') : outcome.state === 'accepted' ? undefined : outcome.message;
+      const reason =
+        outcome.state === 'bounced'
+          ? outcome.reasons.map((each) => `${each.path}: ${each.message}`).join('; ')
+          : outcome.state === 'accepted'
+            ? undefined
+            : outcome.message;
       log.event(step, { change: document.id, outcome: outcome.state, reason });
     });
 
@@ -22,33 +28,70 @@
     const known = yield* register.latest;
     const { configuration, sequence } = known;
     for (const move of yield* movesOf(register, configuration, time.wall())) {
-      if (move.state === 'due') yield* submit({ ...move.move.change, id: move.change, expected: sequence } as never, 'move_made');
+      if (move.state === 'due')
+        yield* submit({ ...move.move.change, id: move.change, expected: sequence }, 'move_made');
     }
     const nodes = news.nodes();
     const now = time.held();
-    const members = [...configuration.voters, ...configuration.stores.current].map((member) => `${member.name} ${member.disk}`);
-    lastSeen.swap((before) => new Map(members.map((member) => {
-      const present = nodes.some((node) => `${node.name} ${node.disk}` === member);
-      return [member, present ? now : before.get(member) ?? now];
-    })));
-    const gone = (member: { name: string; disk: string }): boolean => now - (lastSeen.get().get(`${member.name} ${member.disk}`) ?? now) > goneMs;
+    const members = [...configuration.voters, ...configuration.stores.current].map(
+      (member) => `${member.name} ${member.disk}`,
+    );
+    lastSeen.swap(
+      (before) =>
+        new Map(
+          members.map((member) => {
+            const present = nodes.some((node) => `${node.name} ${node.disk}` === member);
+            return [member, present ? now : (before.get(member) ?? now)];
+          }),
+        ),
+    );
+    const gone = (member: { name: string; disk: string }): boolean =>
+      now - (lastSeen.get().get(`${member.name} ${member.disk}`) ?? now) > goneMs;
     const successor = (member: { name: string; disk: string }, role: string) =>
-      nodes.find((node) => node.name === member.name && node.disk !== '' && node.disk !== member.disk && node.roles.includes(role));
+      nodes.find(
+        (node) =>
+          node.name === member.name && node.disk !== '' && node.disk !== member.disk && node.roles.includes(role),
+      );
 
     const lostStore = configuration.stores.current.find((store) => gone(store) && successor(store, 'store'));
     if (lostStore && configuration.stores.previous.length === 0) {
       const disk = successor(lostStore, 'store')!.disk;
-      yield* submit({ id: `replace-store/${lostStore.name}/${disk}`, expected: sequence, stores: configuration.stores.current.map((store) => store.name) } as never, 'store_replaced');
+      yield* submit(
+        {
+          id: `replace-store/${lostStore.name}/${disk}`,
+          expected: sequence,
+          stores: configuration.stores.current.map((store) => store.name),
+        },
+        'store_replaced',
+      );
       return;
     }
     const lostVoter = configuration.voters.find((voter) => gone(voter) && successor(voter, 'core'));
     if (lostVoter && configuration.voters.length > 1) {
-      yield* submit({ id: `retire-core/${lostVoter.name}/${lostVoter.disk}`, expected: sequence, voters: { remove: lostVoter.name } } as never, 'core_retired');
+      yield* submit(
+        {
+          id: `retire-core/${lostVoter.name}/${lostVoter.disk}`,
+          expected: sequence,
+          voters: { remove: lostVoter.name },
+        },
+        'core_retired',
+      );
       return;
     }
-    const retired = (name: string, disk: string): boolean => known.taken.some(({ id }) => id.startsWith(`retire-core/${name}/`) && id !== `retire-core/${name}/${disk}`);
-    const missing = nodes.find((node) => node.roles.includes('core') && node.disk !== '' && !configuration.voters.some((voter) => voter.name === node.name)
-      && configuration.voters.length < context.settings.foundingCores && retired(node.name, node.disk));
-    if (missing) yield* submit({ id: `join-core/${missing.name}/${missing.disk}`, expected: sequence, voters: { add: missing.name } } as never, 'core_joined');
+    const retired = (name: string, disk: string): boolean =>
+      known.taken.some(({ id }) => id.startsWith(`retire-core/${name}/`) && id !== `retire-core/${name}/${disk}`);
+    const missing = nodes.find(
+      (node) =>
+        node.roles.includes('core') &&
+        node.disk !== '' &&
+        !configuration.voters.some((voter) => voter.name === node.name) &&
+        configuration.voters.length < context.settings.foundingCores &&
+        retired(node.name, node.disk),
+    );
+    if (missing)
+      yield* submit(
+        { id: `join-core/${missing.name}/${missing.disk}`, expected: sequence, voters: { add: missing.name } },
+        'core_joined',
+      );
   });
 };
--- a/src/node/sweep.ts
+++ b/src/node/sweep.ts
@@ -5,14 +5,21 @@
 import type { NodeContext } from './nodeContext.js';
 
 /** What one pass over the stores found and mended. */
-export type Swept = { readonly records: number; readonly mended: number; readonly left: number; readonly silent: ReadonlyArray<Voter>; readonly epoch: number };
+export type Swept = {
+  readonly records: number;
+  readonly mended: number;
+  readonly left: number;
+  readonly silent: ReadonlyArray<Voter>;
+  readonly epoch: number;
+};
 
 /** One pass: every record is brought to each replica that lacks it; what can't be is counted as left. */
 export const sweepStores = (context: NodeContext, held: () => boolean, pauseMs: number): Effect.Effect<Swept, Fault> =>
   Effect.gen(function* () {
     const { archive, register } = context;
     const set = register.known()?.configuration.stores;
-    if (!set || set.current.length === 0) return yield* new Fault({ step: 'sweep', reason: 'no store set is configured' });
+    if (!set || set.current.length === 0)
+      return yield* new Fault({ step: 'sweep', reason: 'no store set is configured' });
     const all = paxos.everyone({ groups: [set.current, set.previous] });
     const silent: Voter[] = [];
     const idOf = (store: Voter): string => `${store.name} ${store.disk}`;
@@ -32,7 +39,9 @@
       const lacking = replicas.filter((store) => listings.has(idOf(store)) && !listings.get(idOf(store))!.has(key));
       left += replicas.filter((store) => !listings.has(idOf(store))).length > 0 && set.previous.length > 0 ? 1 : 0;
       if (lacking.length === 0) continue;
-      const done = key.includes('|') ? yield* mendCheckpoint(context, key, lacking) : yield* mendRecord(context, key, lacking);
+      const done = key.includes('|')
+        ? yield* mendCheckpoint(context, key, lacking)
+        : yield* mendRecord(context, key, lacking);
       if (done) mended += lacking.length;
       else left += 1;
       if (pauseMs > 0) yield* Effect.sleep(pauseMs);
@@ -45,13 +54,26 @@
     const { archive, time } = context;
     const electorate = yield* archive.electorate(archive.shardOf(key));
     const ballots = archive.ballots(key);
-    const decision = yield* paxos.read({ electorate, ballots, proposer: `sweep-${time.identity()}`, chance: time.chance });
+    const decision = yield* paxos.read({
+      electorate,
+      ballots,
+      proposer: `sweep-${time.identity()}`,
+      chance: time.chance,
+    });
     if (!decision) return false;
-    const told = yield* Effect.forEach(lacking, (store) => Effect.isSuccess(ballots.learn(store, decision.ballot, decision.value)), { concurrency: 4 });
+    const told = yield* Effect.forEach(
+      lacking,
+      (store) => Effect.isSuccess(ballots.learn(store, decision.ballot, decision.value)),
+      { concurrency: 4 },
+    );
     return told.every(Boolean);
   }).pipe(Effect.catchAll(() => Effect.succeed(false)));
 
-const mendCheckpoint = (context: NodeContext, key: string, lacking: ReadonlyArray<Voter>): Effect.Effect<boolean, Fault> =>
+const mendCheckpoint = (
+  context: NodeContext,
+  key: string,
+  lacking: ReadonlyArray<Voter>,
+): Effect.Effect<boolean, Fault> =>
   Effect.gen(function* () {
     const { archive } = context;
     const electorate = yield* archive.electorate(archive.shardOf(key));
@@ -62,6 +84,8 @@
     }
     const best = found.sort((one, two) => two.token - one.token || two.count - one.count)[0];
     if (!best) return true;
-    const told = yield* Effect.forEach(lacking, (store) => Effect.isSuccess(archive.shelve(store, [best])), { concurrency: 4 });
+    const told = yield* Effect.forEach(lacking, (store) => Effect.isSuccess(archive.shelve(store, [best])), {
+      concurrency: 4,
+    });
     return told.every(Boolean);
   });
--- /dev/null
+++ b/src/node/upkeep.ts
@@ -0,0 +1,85 @@
+import { Effect } from 'effect';
+import type { Voter } from '../core/voter.js';
+import type { Answer, Ask } from '../gen/foxdeck_pb.js';
+import { answers } from '../shared/answers.js';
+import type { NodeContext } from './nodeContext.js';
+import type { OpenedDisk } from './openDisk.js';
+
+/** What keeps a node abreast of the register: founding it, following it, and filling a core's gaps. */
+export const makeUpkeep = (options: {
+  readonly context: NodeContext;
+  readonly voter: Voter | undefined;
+  readonly disk: OpenedDisk | undefined;
+  readonly handle: (ask: Ask) => Effect.Effect<Answer>;
+}) => {
+  const { voter, disk, handle } = options;
+  const { register, news, links, time, settings } = options.context;
+  const founding = Effect.gen(function* () {
+    if (!voter || !voter.fresh() || register.known()) return;
+    const founders = news
+      .nodes()
+      .filter((node) => node.roles.includes('core') && node.coreFresh && node.sequence === 0 && node.disk !== '');
+    if (founders.length !== settings.foundingCores || news.nodes().some((node) => node.sequence > 0)) return;
+    const names = founders.map((node) => node.name).sort();
+    if (names[0] !== settings.name && time.chance() < 0.9) return;
+    yield* Effect.ignore(
+      register.found(names.map((name) => ({ name, disk: founders.find((node) => node.name === name)!.disk }))),
+    );
+  });
+  const follow = Effect.gen(function* () {
+    const sequence = register.known()?.sequence ?? 0;
+    const ahead = news
+      .nodes()
+      .filter((node) => node.sequence > sequence)
+      .sort((left, right) => right.sequence - left.sequence)[0];
+    if (!ahead) return;
+    const answer = yield* links.ask(
+      ahead.peer,
+      answers.ask({ case: 'since', value: { sequence: ahead.sequence - 1 } }),
+      1000,
+    );
+    if (answer.kind.case === 'chosen') register.learn(answer.kind.value.value);
+  });
+  const backfill = Effect.gen(function* () {
+    for (const sequence of voter?.missing() ?? []) {
+      for (const node of news.nodes().filter((each) => each.roles.includes('core') && each.name !== settings.name)) {
+        const answer = yield* links.ask(
+          node.peer,
+          answers.ask({ case: 'since', value: { sequence: sequence - 1 } }),
+          1000,
+        );
+        if (answer.kind.case !== 'chosen' || answer.kind.value.sequence !== sequence) continue;
+        yield* handle(
+          answers.ask({
+            case: 'learn',
+            value: {
+              role: 'core',
+              disk: disk!.id,
+              key: `config/${sequence}`,
+              ballot: { round: 1, proposer: '' },
+              value: answer.kind.value.value,
+            },
+          }),
+        );
+        break;
+      }
+    }
+    const known = register.known();
+    if (voter && known && known.sequence > (voter.chosen()?.sequence ?? 0)) {
+      yield* handle(
+        answers.ask({
+          case: 'learn',
+          value: {
+            role: 'core',
+            disk: disk!.id,
+            key: `config/${known.sequence}`,
+            ballot: { round: 1, proposer: '' },
+            value: known.value,
+          },
+        }),
+      );
+    }
+  });
+
+  return { founding, follow, backfill };
+};
--- a/src/shared/answers.ts
+++ b/src/shared/answers.ts
@@ -9,6 +9,7 @@
 export const answers = {
   ask: (kind: AskKind): Ask => create(AskSchema, { kind }),
   answer: (kind: AnswerKind): Answer => create(AnswerSchema, { kind }),
-  bounce: (step: string, reason: string, token = 0): Answer => create(AnswerSchema, { kind: { case: 'bounce', value: { step, reason, token } } }),
+  bounce: (step: string, reason: string, token = 0): Answer =>
+    create(AnswerSchema, { kind: { case: 'bounce', value: { step, reason, token } } }),
   done: (): Answer => create(AnswerSchema, { kind: { case: 'done', value: {} } }),
 };
--- a/src/shared/checked.ts
+++ b/src/shared/checked.ts
@@ -5,7 +5,10 @@
 export type Reason = { readonly path: string; readonly message: string };
 
 /** Checks a document against a schema and lists every reason against it. */
-export const checked = <T>(schema: { validateSync: (value: unknown, options: object) => unknown }, document: unknown): Result<T, ReadonlyArray<Reason>> => {
+export const checked = <T>(
+  schema: { validateSync: (value: unknown, options: object) => unknown },
+  document: unknown,
+): Result<T, ReadonlyArray<Reason>> => {
   try {
     return Result.ok(schema.validateSync(document, { abortEarly: false, strict: true }) as T);
   } catch (cause) {
--- a/src/shared/configuration.ts
+++ b/src/shared/configuration.ts
@@ -62,7 +62,11 @@
   readonly voters: ReadonlyArray<Voter>;
   /** The voters before, at a sequence that changed them: the next one has to wait a full lease. Empty otherwise. */
   readonly formerVoters: ReadonlyArray<Voter>;
-  readonly stores: { readonly epoch: number; readonly current: ReadonlyArray<Voter>; readonly previous: ReadonlyArray<Voter> };
+  readonly stores: {
+    readonly epoch: number;
+    readonly current: ReadonlyArray<Voter>;
+    readonly previous: ReadonlyArray<Voter>;
+  };
 };
 
 /** Disks of nodes that are present now, by node name. */
@@ -73,8 +77,15 @@
   bindings: {},
   weights: {},
   seating: {
-    finishedWeight: 100, activeWeight: 10, perThousandWeight: 1, diversityPenalty: 5, reserve: 0.1,
-    starvationMs: 5000, checkpointMs: 400, firstTurnPieces: 8, mode: 'ctb',
+    finishedWeight: 100,
+    activeWeight: 10,
+    perThousandWeight: 1,
+    diversityPenalty: 5,
+    reserve: 0.1,
+    starvationMs: 5000,
+    checkpointMs: 400,
+    firstTurnPieces: 8,
+    mode: 'ctb',
   },
   moves: {},
   voters,
@@ -82,10 +93,21 @@
   stores: { epoch: 0, current: [], previous: [] },
 });
 
-const merged = <T>(before: Readonly<Record<string, T>>, change: Readonly<Record<string, T | null>> | undefined, fresh: boolean): Readonly<Record<string, T>> =>
-  Object.fromEntries(Object.entries({ ...(fresh ? {} : before), ...change }).filter((entry): entry is [string, T] => entry[1] !== null));
+const merged = <T>(
+  before: Readonly<Record<string, T>>,
+  change: Readonly<Record<string, T | null>> | undefined,
+  fresh: boolean,
+): Readonly<Record<string, T>> =>
+  Object.fromEntries(
+    Object.entries({ ...(fresh ? {} : before), ...change }).filter((entry): entry is [string, T] => entry[1] !== null),
+  );
 
-const mergeStores = (before: Configuration['stores'], names: ReadonlyArray<string> | undefined, seen: SeenDisks, reasons: Reason[]): Configuration['stores'] => {
+const mergeStores = (
+  before: Configuration['stores'],
+  names: ReadonlyArray<string> | undefined,
+  seen: SeenDisks,
+  reasons: Reason[],
+): Configuration['stores'] => {
   if (names === undefined) return before;
   const wanted = [...new Set(names)];
   if (wanted.length !== names.length) reasons.push({ path: 'stores', message: 'a store is named twice' });
@@ -94,8 +116,9 @@
     if (disk === undefined) reasons.push({ path: `stores[${place}]`, message: `no store named ${name} is present` });
     return { name, disk: disk ?? '' };
   });
-  const unchanged = current.length === before.current.length
-    && current.every((store) => before.current.some((other) => other.name === store.name && other.disk === store.disk));
+  const unchanged =
+    current.length === before.current.length &&
+    current.every((store) => before.current.some((other) => other.name === store.name && other.disk === store.disk));
   if (unchanged) return before;
   if (before.previous.length > 0) {
     reasons.push({ path: 'stores', message: 'a store move is still running; it ends when its sweep is done' });
@@ -104,12 +127,22 @@
   return { epoch: before.epoch + 1, current, previous: before.current };
 };
 
-const mergeVoters = (before: ReadonlyArray<Voter>, change: Change['voters'], seen: SeenDisks, reasons: Reason[]): ReadonlyArray<Voter> => {
+const mergeVoters = (
+  before: ReadonlyArray<Voter>,
+  change: Change['voters'],
+  seen: SeenDisks,
+  reasons: Reason[],
+): ReadonlyArray<Voter> => {
   if (change?.add !== undefined) {
     const disk = seen.cores.get(change.add);
     if (disk === undefined) reasons.push({ path: 'voters.add', message: `no core named ${change.add} is present` });
-    if (before.some((voter) => voter.name === change.add && voter.disk === disk)) reasons.push({ path: 'voters.add', message: `${change.add} votes already` });
-    if (before.some((voter) => voter.name === change.add)) reasons.push({ path: 'voters.add', message: `${change.add} is still a voter under another disk; remove that one first` });
+    if (before.some((voter) => voter.name === change.add && voter.disk === disk))
+      reasons.push({ path: 'voters.add', message: `${change.add} votes already` });
+    if (before.some((voter) => voter.name === change.add))
+      reasons.push({
+        path: 'voters.add',
+        message: `${change.add} is still a voter under another disk; remove that one first`,
+      });
     return [...before, { name: change.add, disk: disk ?? '' }];
   }
   if (change?.remove !== undefined) {
@@ -122,7 +155,11 @@
 };
 
 /** Applies a change to a configuration, whole or not at all. */
-const apply = (before: Configuration, change: Change, seen: SeenDisks): Result<Configuration, ReadonlyArray<Reason>> => {
+const apply = (
+  before: Configuration,
+  change: Change,
+  seen: SeenDisks,
+): Result<Configuration, ReadonlyArray<Reason>> => {
   const reasons: Reason[] = [];
   const fresh = change.whole === true;
   const services = merged(before.services, change.services, fresh);
@@ -131,32 +168,49 @@
   const voters = mergeVoters(before.voters, change.voters, seen, reasons);
   const claimed = new Map<string, string>();
   for (const [name, binding] of Object.entries(bindings)) {
-    if (services[binding.service] === undefined) reasons.push({ path: `bindings.${name}.service`, message: `no service named ${binding.service}` });
-    if (binding.path.startsWith('/foxdeck/') || binding.path === '/foxdeck') reasons.push({ path: `bindings.${name}.path`, message: '/foxdeck is kept for control calls' });
+    if (services[binding.service] === undefined)
+      reasons.push({ path: `bindings.${name}.service`, message: `no service named ${binding.service}` });
+    if (binding.path.startsWith('/foxdeck/') || binding.path === '/foxdeck')
+      reasons.push({ path: `bindings.${name}.path`, message: '/foxdeck is kept for control calls' });
     for (const method of binding.methods) {
       const taken = claimed.get(`${method} ${binding.path}`);
-      if (taken !== undefined) reasons.push({ path: `bindings.${name}.path`, message: `${method} ${binding.path} is bound by ${taken} already` });
+      if (taken !== undefined)
+        reasons.push({
+          path: `bindings.${name}.path`,
+          message: `${method} ${binding.path} is bound by ${taken} already`,
+        });
       claimed.set(`${method} ${binding.path}`, name);
     }
   }
   for (const [name, value] of Object.entries(weights)) {
-    if (services[name]?.kind !== 'model') reasons.push({ path: `weights.${name}`, message: `no model service named ${name}` });
+    if (services[name]?.kind !== 'model')
+      reasons.push({ path: `weights.${name}`, message: `no model service named ${name}` });
     const old = before.weights[name];
     if (change.weights?.[name] && old && value.version < old.version) {
-      reasons.push({ path: `weights.${name}.version`, message: `is older than ${old.version}, which was named before` });
+      reasons.push({
+        path: `weights.${name}.version`,
+        message: `is older than ${old.version}, which was named before`,
+      });
     }
   }
-  if (change.settledEpoch !== undefined && (change.settledEpoch !== before.stores.epoch || before.stores.previous.length === 0)) {
+  if (
+    change.settledEpoch !== undefined &&
+    (change.settledEpoch !== before.stores.epoch || before.stores.previous.length === 0)
+  ) {
     reasons.push({ path: 'settledEpoch', message: `no store move of epoch ${change.settledEpoch} is running` });
   }
   const next: Configuration = {
-    services, bindings, weights,
+    services,
+    bindings,
+    weights,
     seating: { ...(fresh ? founded([]).seating : before.seating), ...change.seating },
     moves: merged(before.moves, change.moves, fresh),
     voters,
     formerVoters: change.voters === undefined ? [] : before.voters,
-    stores: change.settledEpoch !== undefined ? { epoch: before.stores.epoch + 1, current: before.stores.current, previous: [] }
-      : mergeStores(before.stores, change.stores, seen, reasons),
+    stores:
+      change.settledEpoch !== undefined
+        ? { epoch: before.stores.epoch + 1, current: before.stores.current, previous: [] }
+        : mergeStores(before.stores, change.stores, seen, reasons),
   };
   return reasons.length > 0 ? Result.err(reasons) : Result.ok(next);
 };
@@ -167,8 +221,10 @@
   apply,
   /** The binding for a path: the longest prefix, at a segment's end. */
   match: (now: Configuration, path: string): ReadonlyArray<readonly [string, Binding]> => {
-    const fits = Object.entries(now.bindings).filter(([, binding]) =>
-      path === binding.path || path.startsWith(binding.path.endsWith('/') ? binding.path : `${binding.path}/`));
+    const fits = Object.entries(now.bindings).filter(
+      ([, binding]) =>
+        path === binding.path || path.startsWith(binding.path.endsWith('/') ? binding.path : `${binding.path}/`),
+    );
     const longest = Math.max(0, ...fits.map(([, binding]) => binding.path.length));
     return fits.filter(([, binding]) => binding.path.length === longest);
   },
--- a/src/shared/http.ts
+++ b/src/shared/http.ts
@@ -21,8 +21,15 @@
 export type HttpHandler = (ask: HttpAsk) => Effect.Effect<HttpReply, never, Scope.Scope>;
 
 /** Calls towards samplers and other outside addresses, and the face that callers see. */
-export class Http extends Context.Tag('foxdeck/Http')<Http, {
-  readonly serve: (address: Address, handler: HttpHandler, bodyLimit: number) => Effect.Effect<void, Fault, Scope.Scope>;
-  /** Fails with `unknown` unset only while no byte can have left. */
-  readonly call: (address: Address, ask: HttpAsk) => Effect.Effect<HttpReply, Fault, Scope.Scope>;
-}>() {}
+export class Http extends Context.Tag('foxdeck/Http')<
+  Http,
+  {
+    readonly serve: (
+      address: Address,
+      handler: HttpHandler,
+      bodyLimit: number,
+    ) => Effect.Effect<void, Fault, Scope.Scope>;
+    /** Fails with `unknown` unset only while no byte can have left. */
+    readonly call: (address: Address, ask: HttpAsk) => Effect.Effect<HttpReply, Fault, Scope.Scope>;
+  }
+>() {}
--- a/src/shared/links.ts
+++ b/src/shared/links.ts
@@ -7,7 +7,10 @@
 export type AskHandler = (ask: Ask) => Effect.Effect<Answer>;
 
 /** Channels between the fleet's own processes. */
-export class Links extends Context.Tag('foxdeck/Links')<Links, {
-  readonly serve: (address: Address, handler: AskHandler) => Effect.Effect<void, Fault, Scope.Scope>;
-  readonly ask: (address: Address, ask: Ask, timeLeft: number) => Effect.Effect<Answer, Fault>;
-}>() {}
+export class Links extends Context.Tag('foxdeck/Links')<
+  Links,
+  {
+    readonly serve: (address: Address, handler: AskHandler) => Effect.Effect<void, Fault, Scope.Scope>;
+    readonly ask: (address: Address, ask: Ask, timeLeft: number) => Effect.Effect<Answer, Fault>;
+  }
+>() {}
--- a/src/shared/memoryLog.ts
+++ b/src/shared/memoryLog.ts
@@ -7,14 +7,21 @@
 };
 
 /** A log that keeps the last events in memory and hands each line on. */
-export const memoryLog = (options: { node: string; wall: () => number; most: number; print: (line: string) => void }): Context.Tag.Service<typeof Log> => {
+export const memoryLog = (options: {
+  node: string;
+  wall: () => number;
+  most: number;
+  print: (line: string) => void;
+}): Context.Tag.Service<typeof Log> => {
   const kept: Array<{ at: number; line: string }> = [];
   const counters = new Map<string, number>();
   const count = (name: string, by = 1): void => void counters.set(name, (counters.get(name) ?? 0) + by);
   return {
     event: (name: string, fields: Fields) => {
       const at = options.wall();
-      const rest = Object.entries(fields).flatMap(([key, value]) => (value === undefined ? [] : [`${key}=${printed(value)}`]));
+      const rest = Object.entries(fields).flatMap(([key, value]) =>
+        value === undefined ? [] : [`${key}=${printed(value)}`],
+      );
       const line = [`at=${new Date(at).toISOString()}`, `node=${options.node}`, `event=${name}`, ...rest].join(' ');
       kept.push({ at, line });
       if (kept.length > options.most) kept.splice(0, kept.length - options.most);
@@ -22,7 +29,10 @@
       options.print(line);
     },
     recent: ({ from, until, about, most }) =>
-      kept.filter((entry) => entry.at >= from && entry.at <= until && entry.line.includes(about)).slice(-most).map((entry) => entry.line),
+      kept
+        .filter((entry) => entry.at >= from && entry.at <= until && entry.line.includes(about))
+        .slice(-most)
+        .map((entry) => entry.line),
     count,
     counts: () => Object.fromEntries(counters),
   };
--- a/src/shared/sealedFiles.ts
+++ b/src/shared/sealedFiles.ts
@@ -19,7 +19,8 @@
 
 /** Files with a digest, written aside, synced, renamed and made to last by a folder sync. */
 export const sealedFiles = {
-  seal: (body: Uint8Array): Uint8Array => toBinary(SealedSchema, create(SealedSchema, { body, digest: digestOf(body) })),
+  seal: (body: Uint8Array): Uint8Array =>
+    toBinary(SealedSchema, create(SealedSchema, { body, digest: digestOf(body) })),
   unseal,
   write: (folder: string, name: string, body: Uint8Array): Effect.Effect<void, Fault, Disk> =>
     Effect.gen(function* () {
