--- a/src/store/shelf.ts
+++ b/src/store/shelf.ts
@@ -49,7 +49,10 @@
         log.event('checkpoint_damaged', { name, reason: body.left.reason });
       }
     }
-    const checkpoints = table<{ readonly kept: ReadonlyMap<string, Checkpoint>; readonly lost: ReadonlySet<string> }>({ kept: loaded, lost });
+    const checkpoints = table<{ readonly kept: ReadonlyMap<string, Checkpoint>; readonly lost: ReadonlySet<string> }>({
+      kept: loaded,
+      lost,
+    });
     const fences = table<ReadonlyMap<string, number>>(new Map());
     const lane = Effect.unsafeMakeSemaphore(1);
 
@@ -62,70 +65,146 @@
     };
     const fenced = (duty: string, token: number): number | undefined => {
       if (duty === '') return undefined;
-      const kept = fences.get().get(duty) ?? Math.max(0, ...[...checkpoints.get().kept.values()].filter((each) => each.key.startsWith(`${duty}|`)).map((each) => each.token));
+      const kept =
+        fences.get().get(duty) ??
+        Math.max(
+          0,
+          ...[...checkpoints.get().kept.values()]
+            .filter((each) => each.key.startsWith(`${duty}|`))
+            .map((each) => each.token),
+        );
       if (token < kept) return kept;
       fences.swap((now) => new Map(now).set(duty, token));
       return undefined;
     };
-    const put = (checkpoint: Checkpoint): Effect.Effect<void, Fault> => Effect.gen(function* () {
-      if (!later(checkpoint, checkpoints.get().kept.get(checkpoint.key))) return;
-      if (checkpoint.state === 'gone') {
-        if (!checkpoints.get().kept.has(checkpoint.key)) return;
-        yield* disk.remove(`${folder}/${nameOf(checkpoint.key)}`);
-        checkpoints.swap((now) => ({ ...now, kept: new Map([...now.kept].filter(([key]) => key !== checkpoint.key)) }));
-        return;
-      }
-      yield* sealedFiles.write(folder, nameOf(checkpoint.key), toBinary(CheckpointSchema, checkpoint)).pipe(Effect.provideService(Disk, disk));
-      checkpoints.swap((now) => ({
-        kept: new Map(now.kept).set(checkpoint.key, checkpoint),
-        lost: now.lost.has(checkpoint.key) ? new Set([...now.lost].filter((key) => key !== checkpoint.key)) : now.lost,
-      }));
-    });
+    const put = (checkpoint: Checkpoint): Effect.Effect<void, Fault> =>
+      Effect.gen(function* () {
+        if (!later(checkpoint, checkpoints.get().kept.get(checkpoint.key))) return;
+        if (checkpoint.state === 'gone') {
+          if (!checkpoints.get().kept.has(checkpoint.key)) return;
+          yield* disk.remove(`${folder}/${nameOf(checkpoint.key)}`);
+          checkpoints.swap((now) => ({
+            ...now,
+            kept: new Map([...now.kept].filter(([key]) => key !== checkpoint.key)),
+          }));
+          return;
+        }
+        yield* sealedFiles
+          .write(folder, nameOf(checkpoint.key), toBinary(CheckpointSchema, checkpoint))
+          .pipe(Effect.provideService(Disk, disk));
+        checkpoints.swap((now) => ({
+          kept: new Map(now.kept).set(checkpoint.key, checkpoint),
+          lost: now.lost.has(checkpoint.key)
+            ? new Set([...now.lost].filter((key) => key !== checkpoint.key))
+            : now.lost,
+        }));
+      });
 
-    const guarded = (target: Target | undefined, work: Effect.Effect<Answer, Fault>): Option.Option<Effect.Effect<Answer, Fault>> =>
-      target !== undefined && target.role !== 'store' ? Option.none() : Option.some(Effect.suspend(() => {
-        const no = stranger(target);
-        return no === undefined ? work : Effect.succeed(answers.bounce('store', no));
-      }));
+    const guarded = (
+      target: Target | undefined,
+      work: Effect.Effect<Answer, Fault>,
+    ): Option.Option<Effect.Effect<Answer, Fault>> =>
+      target !== undefined && target.role !== 'store'
+        ? Option.none()
+        : Option.some(
+            Effect.suspend(() => {
+              const no = stranger(target);
+              return no === undefined ? work : Effect.succeed(answers.bounce('store', no));
+            }),
+          );
 
     return {
-      size: () => ({ records: records.keys().length, checkpoints: checkpoints.get().kept.size, damaged: records.damaged().length + checkpoints.get().lost.size }),
+      size: () => ({
+        records: records.keys().length,
+        checkpoints: checkpoints.get().kept.size,
+        damaged: records.damaged().length + checkpoints.get().lost.size,
+      }),
       handle: ({ kind }) => {
         switch (kind.case) {
           case 'prepare':
-            return guarded(kind.value.target, Effect.map(records.apply(kind.value.key, (record) => acceptor.prepare(record, kind.value.ballot!)),
-              (vote) => answers.answer({ case: 'vote', value: vote })));
+            return guarded(
+              kind.value.target,
+              Effect.map(
+                records.apply(kind.value.key, (record) => acceptor.prepare(record, kind.value.ballot!)),
+                (vote) => answers.answer({ case: 'vote', value: vote }),
+              ),
+            );
           case 'accept':
-            return guarded(kind.value.target, Effect.map(records.apply(kind.value.key, (record) => acceptor.accept(record, kind.value.ballot!, kind.value.value)),
-              (vote) => answers.answer({ case: 'vote', value: vote })));
+            return guarded(
+              kind.value.target,
+              Effect.map(
+                records.apply(kind.value.key, (record) =>
+                  acceptor.accept(record, kind.value.ballot!, kind.value.value),
+                ),
+                (vote) => answers.answer({ case: 'vote', value: vote }),
+              ),
+            );
           case 'read':
-            return guarded(kind.value.target, Effect.sync(() => (records.damaged().includes(kind.value.key)
-              ? answers.bounce('read', `${kind.value.key} is damaged here`)
-              : answers.answer({ case: 'vote', value: acceptor.read(records.get(kind.value.key) ?? acceptor.fresh(kind.value.key)) }))));
+            return guarded(
+              kind.value.target,
+              Effect.sync(() =>
+                records.damaged().includes(kind.value.key)
+                  ? answers.bounce('read', `${kind.value.key} is damaged here`)
+                  : answers.answer({
+                      case: 'vote',
+                      value: acceptor.read(records.get(kind.value.key) ?? acceptor.fresh(kind.value.key)),
+                    }),
+              ),
+            );
           case 'learn':
             if (kind.value.role !== 'store' || kind.value.disk !== options.disk) return Option.none();
-            return Option.some(Effect.map(records.apply(kind.value.key, (record) => acceptor.learn(record, kind.value.ballot!, kind.value.value)), () => answers.done()));
+            return Option.some(
+              Effect.map(
+                records.apply(kind.value.key, (record) => acceptor.learn(record, kind.value.ballot!, kind.value.value)),
+                () => answers.done(),
+              ),
+            );
           case 'putCheckpoint':
-            return guarded(kind.value.target, lane.withPermits(1)(Effect.gen(function* () {
-              const older = fenced(kind.value.duty, Math.max(0, ...kind.value.checkpoints.map((each) => each.token)));
-              if (older !== undefined) return answers.bounce('checkpoint', 'an older token', older);
-              yield* Effect.forEach(kind.value.checkpoints, put, { concurrency: 8 });
-              return answers.done();
-            })));
+            return guarded(
+              kind.value.target,
+              lane.withPermits(1)(
+                Effect.gen(function* () {
+                  const older = fenced(
+                    kind.value.duty,
+                    Math.max(0, ...kind.value.checkpoints.map((each) => each.token)),
+                  );
+                  if (older !== undefined) return answers.bounce('checkpoint', 'an older token', older);
+                  yield* Effect.forEach(kind.value.checkpoints, put, { concurrency: 8 });
+                  return answers.done();
+                }),
+              ),
+            );
           case 'getCheckpoint':
-            return guarded(kind.value.target, Effect.sync(() => {
-              const older = kind.value.token > 0 ? fenced(kind.value.duty, kind.value.token) : undefined;
-              if (older !== undefined) return answers.bounce('checkpoint', 'an older token', older);
-              const { kept, lost: gone } = checkpoints.get();
-              if (kind.value.keys.some((key) => gone.has(key))) return answers.bounce('checkpoint', 'a damaged one is asked for');
-              return answers.answer({ case: 'checkpoint', value: { checkpoints: kind.value.keys.flatMap((key) => kept.get(key) ?? []), token: 0 } });
-            }));
+            return guarded(
+              kind.value.target,
+              Effect.sync(() => {
+                const older = kind.value.token > 0 ? fenced(kind.value.duty, kind.value.token) : undefined;
+                if (older !== undefined) return answers.bounce('checkpoint', 'an older token', older);
+                const { kept, lost: gone } = checkpoints.get();
+                if (kind.value.keys.some((key) => gone.has(key)))
+                  return answers.bounce('checkpoint', 'a damaged one is asked for');
+                return answers.answer({
+                  case: 'checkpoint',
+                  value: { checkpoints: kind.value.keys.flatMap((key) => kept.get(key) ?? []), token: 0 },
+                });
+              }),
+            );
           case 'list':
-            return guarded(kind.value.target, Effect.sync(() => {
-              const kept = kind.value.settled ? records.keys().filter((key) => records.get(key)?.chosen) : records.keys().filter((key) => records.get(key)?.accepted);
-              const all = [...kept, ...checkpoints.get().kept.keys()].filter((key) => key.startsWith(kind.value.prefix) && key > kind.value.after).sort();
-              return answers.answer({ case: 'listing', value: { keys: all.slice(0, kind.value.most), more: all.length > kind.value.most } });
-            }));
+            return guarded(
+              kind.value.target,
+              Effect.sync(() => {
+                const kept = kind.value.settled
+                  ? records.keys().filter((key) => records.get(key)?.chosen)
+                  : records.keys().filter((key) => records.get(key)?.accepted);
+                const all = [...kept, ...checkpoints.get().kept.keys()]
+                  .filter((key) => key.startsWith(kind.value.prefix) && key > kind.value.after)
+                  .sort();
+                return answers.answer({
+                  case: 'listing',
+                  value: { keys: all.slice(0, kind.value.most), more: all.length > kind.value.most },
+                });
+              }),
+            );
           default:
             return Option.none();
         }
--- a/src/tests/brokenOnPurpose.ts
+++ b/src/tests/brokenOnPurpose.ts
@@ -6,4 +6,12 @@
 
 /** A short day of a small deployment, for tests that bring one failure about. */
 export const brokenOnPurpose = (options: Partial<DayOptions> & { readonly seed: number }): Day =>
-  runDay({ given: { ...small, fronts: 2, samplers: small.samplers.map((group) => ({ ...group, count: 2 })) }, workMs: 7000, settleMs: 16_000, meanFaultMs: 1000, only: [], lastFault: false, ...options });
+  runDay({
+    given: { ...small, fronts: 2, samplers: small.samplers.map((group) => ({ ...group, count: 2 })) },
+    workMs: 7000,
+    settleMs: 16_000,
+    meanFaultMs: 1000,
+    only: [],
+    lastFault: false,
+    ...options,
+  });
--- a/src/tests/disks.test.ts
+++ b/src/tests/disks.test.ts
@@ -16,10 +16,14 @@
   });
   test('lose it when nothing is synced', () => {
     const write = sealedFiles.write;
-    off(sealedFiles, 'write', (folder, name, body) => (folder !== 'records' ? write(folder, name, body) : Effect.gen(function* () {
-      const disk = yield* Disk;
-      yield* disk.write(`${folder}/${name}`, sealedFiles.seal(body));
-    })));
+    off(sealedFiles, 'write', (folder, name, body) =>
+      folder !== 'records'
+        ? write(folder, name, body)
+        : Effect.gen(function* () {
+            const disk = yield* Disk;
+            yield* disk.write(`${folder}/${name}`, sealedFiles.seal(body));
+          }),
+    );
     expect(rulesOf(brokenOnPurpose({ seed: 241, ...powerless }))).toContain('an accepted lot stays readable');
   });
 });
--- a/src/tests/frozenFront.test.ts
+++ b/src/tests/frozenFront.test.ts
@@ -12,10 +12,14 @@
     expect(rulesOf(brokenOnPurpose({ seed: 211, ...frozen, script: freezing }))).toEqual([]);
   });
   test('serves what is outdated when no lease is held against the clock', () => {
-    const day = brokenOnPurpose({ seed: 211, ...frozen, script: (world, fleet, clients) => {
-      freezing(world, fleet, clients);
-      blindClock(world, fleet);
-    } });
+    const day = brokenOnPurpose({
+      seed: 211,
+      ...frozen,
+      script: (world, fleet, clients) => {
+        freezing(world, fleet, clients);
+        blindClock(world, fleet);
+      },
+    });
     expect(rulesOf(day)).toContain('an accepted configuration is in force in 2 s');
   });
 });
--- a/src/tests/onceOnly.test.ts
+++ b/src/tests/onceOnly.test.ts
@@ -16,8 +16,11 @@
   });
   test('run twice when every claim is granted', () => {
     const decide = paxos.decide;
-    off(paxos, 'decide', (options) => (options.value !== undefined && Buffer.from(options.value).includes('"attempt"')
-      ? Effect.succeed({ value: options.value, ballot: acceptor.fresh('').promised!, votes: [], lacking: 0 }) : decide(options)));
+    off(paxos, 'decide', (options) =>
+      options.value !== undefined && Buffer.from(options.value).includes('"attempt"')
+        ? Effect.succeed({ value: options.value, ballot: acceptor.fresh('').promised!, votes: [], lacking: 0 })
+        : decide(options),
+    );
     expect(rulesOf(brokenOnPurpose({ seed: 231, ...impatient }))).toContain('once-only runs once');
   });
 });
--- a/src/tests/operators.test.ts
+++ b/src/tests/operators.test.ts
@@ -6,6 +6,10 @@
 
 describe('operators who race', () => {
   test('never both win, nor does a loser take effect', () => {
-    expect(rulesOf(brokenOnPurpose({ seed: 251, workMs: 10_000, only: ['core cut', 'kill', 'one-way cut'], meanFaultMs: 600 }))).toEqual([]);
+    expect(
+      rulesOf(
+        brokenOnPurpose({ seed: 251, workMs: 10_000, only: ['core cut', 'kill', 'one-way cut'], meanFaultMs: 600 }),
+      ),
+    ).toEqual([]);
   });
 });
--- a/src/tests/setAside.test.ts
+++ b/src/tests/setAside.test.ts
@@ -4,9 +4,13 @@
 
 test('a sampler that can not load weights is set aside, said so, and the rest goes on', () => {
   const day = brokenOnPurpose({
-    seed: 271, workMs: 9000, settleMs: 14_000,
+    seed: 271,
+    workMs: 9000,
+    settleMs: 14_000,
     script: (_, fleet, clients) => {
-      [...fleet.machines.values()].find((machine) => machine.service === clients.model)!.standIn!.switches.refuseWeights = true;
+      [...fleet.machines.values()].find(
+        (machine) => machine.service === clients.model,
+      )!.standIn!.switches.refuseWeights = true;
     },
   });
   expect(day.seen.some((each) => each.kind === 'weights-told' && each['status'] === 200)).toBe(true);
--- a/src/tests/switchOff.ts
+++ b/src/tests/switchOff.ts
@@ -18,19 +18,34 @@
   back: (): void => {
     for (const each of restore.splice(0)) each();
   },
-  rulesOf: (day: { readonly violations: ReadonlyArray<{ readonly rule: string }> }): ReadonlyArray<string> => [...new Set(day.violations.map((each) => each.rule))],
+  rulesOf: (day: { readonly violations: ReadonlyArray<{ readonly rule: string }> }): ReadonlyArray<string> => [
+    ...new Set(day.violations.map((each) => each.rule)),
+  ],
   /** Freezes one front for 12 s, once; the others go on. It is asked for its sequence all the while. */
   freezing: (world: World, fleet: SimFleet, clients: Clients): void => {
     const machine = [...fleet.machines.values()].find((each) => each.role === 'front')!;
-    const probe = Effect.flatMap(clients.ask(machine.http, 'GET', '/foxdeck/status', undefined, {}, 3000), (told) => Effect.sync(() => {
-      if (told.status === 200) clients.note('front-sequence', told.asked, { front: machine.http, sequence: told.body['sequence'], inForce: told.body['inForce'] });
-    }));
-    fleet.client('prober', Effect.forEach(Array.from({ length: 150 }), () => Effect.zipRight(Effect.forkDaemon(probe), Effect.sleep(100)), { discard: true }));
+    const probe = Effect.flatMap(clients.ask(machine.http, 'GET', '/foxdeck/status', undefined, {}, 3000), (told) =>
+      Effect.sync(() => {
+        if (told.status === 200)
+          clients.note('front-sequence', told.asked, {
+            front: machine.http,
+            sequence: told.body['sequence'],
+            inForce: told.body['inForce'],
+          });
+      }),
+    );
+    fleet.client(
+      'prober',
+      Effect.forEach(Array.from({ length: 150 }), () => Effect.zipRight(Effect.forkDaemon(probe), Effect.sleep(100)), {
+        discard: true,
+      }),
+    );
     world.after(700, machine.process.freeze);
     world.after(12_700, () => machine.process.thaw(false));
   },
   /** A clock by which no lease that a front holds ever ends. */
   blindClock: (_: World, fleet: SimFleet): void => {
-    for (const machine of fleet.machines.values()) if (machine.role === 'front') (machine.process.time as { held: () => number }).held = () => 0;
+    for (const machine of fleet.machines.values())
+      if (machine.role === 'front') (machine.process.time as { held: () => number }).held = () => 0;
   },
 };
--- a/src/tests/versions.test.ts
+++ b/src/tests/versions.test.ts
@@ -14,7 +14,18 @@
   test('mix when seating does not look at them', () => {
     const plan = seating.plan;
     off(seating, 'versionFits', () => true);
-    off(seating, 'plan', (state, rules, now) => plan({ ...state, items: new Map([...state.items].map(([key, item]) => [key, { ...item, minVersion: 0, singleVersion: false }])) }, rules, now));
+    off(seating, 'plan', (state, rules, now) =>
+      plan(
+        {
+          ...state,
+          items: new Map(
+            [...state.items].map(([key, item]) => [key, { ...item, minVersion: 0, singleVersion: false }]),
+          ),
+        },
+        rules,
+        now,
+      ),
+    );
     expect(rulesOf(brokenOnPurpose({ seed: 221, workMs: 7000 }))).toContain('a text keeps to its versions');
   });
 });
