--- a/src/cli/operatorCommands.ts
+++ b/src/cli/operatorCommands.ts
@@ -49,6 +49,8 @@
   else for (const line of shape(JSON.parse(told.text) as T)) process.stdout.write(`${line}\n`);
 };
 
+const samplerFields = ['service', 'domain', 'state', 'version', 'kvUsed', 'budget'];
+
 const numbered = (sequence: string | undefined): string =>
   sequence === undefined ? '' : `?sequence=${encodeURIComponent(sequence)}`;
 
@@ -141,12 +143,7 @@
           ...body.nodes
             .map((node) => `node ${node['name']} ${fieldsOf(node, ['domain', 'roles', 'state', 'sequence', 'duties'])}`)
             .sort(),
-          ...body.samplers
-            .map(
-              (each) =>
-                `sampler ${each['name']} ${fieldsOf(each, ['service', 'domain', 'state', 'version', 'kvUsed', 'budget'])}`,
-            )
-            .sort(),
+          ...body.samplers.map((each) => `sampler ${each['name']} ${fieldsOf(each, samplerFields)}`).sort(),
         ],
       ),
   }),
--- a/src/dev/standIn.ts
+++ b/src/dev/standIn.ts
@@ -14,7 +14,16 @@
 };
 
 /** A stand-in's switches. */
-export type Switches = { dark: boolean; slowBy: number; truncate: number; refuseWeights: boolean };
+export type Switches = {
+  dark: boolean;
+  slowBy: number;
+  truncate: number;
+  refuseWeights: boolean;
+  /** How old the cache use is that it reports. */
+  lateMs: number;
+  /** Tokens of a load that foxdeck does not see. */
+  hidden: number;
+};
 
 /** How a stand-in is set up. */
 export type StandInOptions = {
@@ -60,7 +69,7 @@
     const [http, time] = [yield* Http, yield* Timepiece];
     const incarnation = time.wall();
     const sessions = new Map<string, Session>();
-    const switches: Switches = { dark: false, slowBy: 1, truncate: 0, refuseWeights: false };
+    const switches: Switches = { dark: false, slowBy: 1, truncate: 0, refuseWeights: false, lateMs: 0, hidden: 0 };
     let state: 'starting' | 'ready' | 'leaving' = 'ready';
     let version = options.version;
     let highestFence = 0;
@@ -71,7 +80,15 @@
       options.saw({ at: time.wall(), sampler: options.name, kind, ...fields });
     const sizeOf = (session: Session): number =>
       session.prompt + session.pieces.reduce((sum, piece) => sum + piece.tokens, 0);
-    const kvUsed = (): number => [...sessions.values()].reduce((sum, session) => sum + sizeOf(session), 0);
+    const kvUsed = (): number =>
+      [...sessions.values()].reduce((sum, session) => sum + sizeOf(session), switches.hidden);
+    let reports: ReadonlyArray<{ readonly at: number; readonly used: number }> = [];
+    /** What it reports: its use of some time ago, when it is late. */
+    const reported = (): number => {
+      const now = time.held();
+      reports = [...reports.filter((each) => now - each.at <= 11_000), { at: now, used: kvUsed() }];
+      return [...reports].reverse().find((each) => now - each.at >= switches.lateMs)?.used ?? 0;
+    };
     const evict = (): void => {
       while (kvUsed() > options.budget) {
         const oldest = [...sessions].sort(
@@ -123,7 +140,7 @@
             saw('stop', { item, fence });
           }),
         );
-        saw('start', { item, fence, version, held, from: body.from });
+        saw('start', { item, fence, version, held, from: body.from, by: ask.headers['x-sim-from'] });
         yield* pause(held ? options.pieceMs : options.pieceMs + (prompt * options.pieceMs) / 400);
         const total = textOf.length(body.prompt, body.maxTokens);
         const cutAt = switches.truncate > 0 ? body.from + switches.truncate : Infinity;
@@ -132,6 +149,7 @@
           Effect.gen(function* () {
             if (index > total + 1) return undefined;
             if (index > cutAt) return yield* new Fault({ step: 'stand-in', reason: 'cut on purpose' });
+            if (index === total + 1) saw('whole', { item, count: total });
             if (index === total + 1)
               return [encoder.encode(`event: done\ndata: ${JSON.stringify({ count: total })}\n\n`), index + 1] as const;
             yield* pause(options.pieceMs);
@@ -171,7 +189,7 @@
           }
           highestFence = Math.max(highestFence, fence);
           if (switches.refuseWeights) return json(500, { error: 'can not load' });
-          saw('load', { version: wanted, fence });
+          saw('load', { version: wanted, fence, by: ask.headers['x-sim-from'] });
           state = 'starting';
           yield* Effect.sleep(options.loadMs);
           version = wanted;
@@ -185,41 +203,49 @@
             text: string;
             digest: string;
           };
-          saw('rate', { item, digest, length: text.length });
+          saw('rate', { item, digest, length: text.length, by: ask.headers['x-sim-from'] });
           yield* pause(options.pieceMs);
           return json(200, { score: text.length % 10, digest });
         }
+        if (options.kind === 'model' && Number(ask.headers['foxdeck-weight-version']) !== version) {
+          const headers = { 'content-type': 'application/json', 'foxdeck-weight-version': String(version) };
+          return {
+            status: 409,
+            headers,
+            body: encoder.encode(JSON.stringify({ error: `version ${version} is loaded` })),
+          };
+        }
+        const answer = JSON.stringify({
+          sampler: options.name,
+          path: ask.path,
+          id: ask.headers['x-ask-id'] ?? null,
+          text: options.kind === 'model' ? textOf.answer(ask.path, version) : '',
+          end: true,
+        });
         saw('ran', {
+          service: options.service,
+          answer,
+          by: ask.headers['x-sim-from'],
           path: ask.path,
           method: ask.method,
           id: ask.headers['x-ask-id'],
           key: ask.headers['idempotency-key'],
         });
         yield* pause(options.pieceMs);
-        const answer = encoder.encode(
-          JSON.stringify({
-            sampler: options.name,
-            path: ask.path,
-            method: ask.method,
-            id: ask.headers['x-ask-id'] ?? null,
-            end: true,
-          }),
+        const bytes = encoder.encode(answer);
+        const places = options.kind === 'model' ? [0, 1, 2, 3, 4, 5, 6, 7] : [0, 1];
+        const size = Math.ceil(bytes.length / places.length);
+        const cutAt = switches.truncate > 0 ? Math.min(switches.truncate, places.length - 1) : Infinity;
+        const body = Stream.fromIterable(places).pipe(
+          Stream.mapEffect((place) =>
+            Effect.gen(function* () {
+              if (place >= cutAt) return yield* new Fault({ step: 'stand-in', reason: 'cut on purpose' });
+              if (place > 0) yield* pause(options.pieceMs / 2);
+              return bytes.slice(place * size, (place + 1) * size);
+            }),
+          ),
         );
-        if (switches.truncate > 0) {
-          return {
-            status: 200,
-            headers: { 'content-type': 'application/json' },
-            body: Stream.concat(
-              Stream.make(answer.slice(0, 10)),
-              Stream.fail(new Fault({ step: 'stand-in', reason: 'cut on purpose' })),
-            ),
-          };
-        }
-        return {
-          status: 200,
-          headers: { 'content-type': 'application/json' },
-          body: Stream.make(answer.slice(0, 12), answer.slice(12)),
-        };
+        return { status: 200, headers: { 'content-type': 'application/json' }, body };
       });
 
     const tell = (front: Address): Effect.Effect<boolean> =>
@@ -233,7 +259,7 @@
             domain: options.domain,
             state,
             version,
-            kvUsed: kvUsed(),
+            kvUsed: reported(),
             budget: options.budget,
             incarnation,
             sequence,
@@ -265,6 +291,7 @@
       (ask) => handle(ask).pipe(Effect.catchAll((fault) => Effect.succeed(json(500, { error: fault.message })))),
       64 * 1024 * 1024,
     );
+    saw('up', {});
     yield* Effect.forkScoped(Effect.forever(Effect.zipRight(announce, Effect.sleep(400))));
     return {
       switches,
--- a/src/dev/textOf.ts
+++ b/src/dev/textOf.ts
@@ -45,6 +45,9 @@
   },
   tokens: (text: string): number => Math.ceil(text.length / 2),
   promptTokens: (prompt: string): number => Math.ceil(prompt.length / 3),
+  /** What a model answers to an ordinary request. */
+  answer: (path: string, version: number): string =>
+    Array.from({ length: 12 }, (_, place) => words[draw(path, version, place) % words.length]).join(' '),
   /** Whether pieces are what one run of the stated versions gives, each continuing the one before. */
   holds: (prompt: string, pieces: ReadonlyArray<{ readonly text: string; readonly version: number }>): boolean => {
     let before = '';
--- a/src/front/generation.ts
+++ b/src/front/generation.ts
@@ -40,7 +40,7 @@
 /** How long a sampler may say nothing before it counts as dark. */
 const silenceMs = 5000;
 
-/** Runs one stretch of an item on a sampler, handing on its pieces in order; closing its scope closes the connection. */
+/** Runs one stretch of an item on a sampler, handing on its pieces in order; its scope's end closes the connection. */
 export const generation = (options: {
   readonly http: Context.Tag.Service<typeof Http>;
   readonly sampler: { readonly name: string; readonly address: Address; readonly version: number };
--- a/src/front/seaterState.ts
+++ b/src/front/seaterState.ts
@@ -89,7 +89,7 @@
 
 /**
  * Holds a late `kvUsed` against what was thought to be cached. Less is a silent eviction. More is a burden while it
- * grows; once it stands still it is the idle cache of finished texts, which the sampler gives up by itself, so it fades.
+ * grows; once it stands still it is the idle cache of finished texts, which the sampler gives up itself, so it fades.
  */
 const reconcile = (state: SeaterState, sampler: Announcement, now: number): SeaterState => {
   const before = noteOf(state, sampler.name);
--- a/src/shared/configuration.ts
+++ b/src/shared/configuration.ts
@@ -215,17 +215,22 @@
   return reasons.length > 0 ? Result.err(reasons) : Result.ok(next);
 };
 
+/** The bindings for a path: the longest prefix, at a segment's end. */
+const match = (now: Configuration, path: string): ReadonlyArray<readonly [string, Binding]> => {
+  const fits = Object.entries(now.bindings).filter(
+    ([, binding]) =>
+      path === binding.path || path.startsWith(binding.path.endsWith('/') ? binding.path : `${binding.path}/`),
+  );
+  const longest = Math.max(0, ...fits.map(([, binding]) => binding.path.length));
+  return fits.filter(([, binding]) => binding.path.length === longest);
+};
+
 /** The configuration's reducers. */
 export const configuration = {
   founded,
   apply,
-  /** The binding for a path: the longest prefix, at a segment's end. */
-  match: (now: Configuration, path: string): ReadonlyArray<readonly [string, Binding]> => {
-    const fits = Object.entries(now.bindings).filter(
-      ([, binding]) =>
-        path === binding.path || path.startsWith(binding.path.endsWith('/') ? binding.path : `${binding.path}/`),
-    );
-    const longest = Math.max(0, ...fits.map(([, binding]) => binding.path.length));
-    return fits.filter(([, binding]) => binding.path.length === longest);
-  },
+  match,
+  /** Whether a request may go to a service. */
+  allows: (now: Configuration, path: string, method: string, service: string): boolean =>
+    match(now, path).some(([, binding]) => binding.service === service && binding.methods.includes(method)),
 };
--- a/src/sim/day.ts
+++ b/src/sim/day.ts
@@ -2,7 +2,9 @@
 import { deployment, type Deployment } from '../dev/deployment.js';
 import type { Settings } from '../shared/settings.js';
 import { makeClients, type Clients, type Seen } from './clients.js';
-import { makeFaults, type FaultKind } from './faults.js';
+import type { FaultKind } from './faultActs.js';
+import { makeFaults, type Faults } from './faults.js';
+import type { LastFault } from './lastFaults.js';
 import { judge, type Final, type Violation } from './oracle.js';
 import { readFinal } from './readFinal.js';
 import { startSimFleet, type SimFleet } from './simFleet.js';
@@ -28,13 +30,48 @@
   readonly settleMs: number;
   readonly meanFaultMs: number;
   readonly only?: ReadonlyArray<FaultKind>;
-  readonly lastFault?: boolean;
+  /** How many faults may happen, of those that the seed draws. */
+  readonly mostFaults?: number;
+  /** What happens last; drawn by the seed when it is not named. */
+  readonly lastFault?: LastFault | false;
   readonly settings?: Partial<Settings>;
   /** Called once the fleet serves, for what a test brings about itself. */
   readonly script?: (world: World, fleet: SimFleet, clients: Clients) => void;
 };
 
 const bootMs = 40_000;
+const leastRestMs = 8000;
+const lastKinds: ReadonlyArray<LastFault> = [
+  'power lost everywhere',
+  'disk lost',
+  'machine gone',
+  'core cut',
+  'seater frozen',
+];
+
+/** Lets the fleet rest until every accepted lot has come to its end and no stream is open. */
+const settle = (world: World, fleet: SimFleet, clients: Clients, seen: ReadonlyArray<Seen>, last: number): void => {
+  const from = world.now();
+  let open = Infinity;
+  fleet.client(
+    'watcher',
+    Effect.gen(function* () {
+      while (world.now() < last) {
+        const ids = seen.filter((each) => each.kind === 'lot-told' && each['status'] === 201).map((each) => each['id']);
+        const states = yield* Effect.forEach(new Set(ids), (id) =>
+          Effect.map(clients.ask(clients.front(), 'GET', `/foxdeck/lots/${String(id)}`, undefined, {}, 2000), (told) =>
+            told.status === 200 ? told.body['state'] : 'open',
+          ),
+        );
+        open = states.filter((state) => state === 'open').length;
+        yield* Effect.sleep(1000);
+      }
+    }),
+  );
+  while (world.now() < last && (world.now() < from + leastRestMs || open > 0 || clients.following.count > 0)) {
+    world.runUntil(world.now() + 250);
+  }
+};
 
 /** Runs a day: boot, work under faults, a last fault, rest, and a read of all that was acknowledged. */
 export const runDay = (options: DayOptions): Day => {
@@ -49,7 +86,14 @@
   const fleet = startSimFleet(world, given, options.settings);
   const seen: Seen[] = [];
   let stopAt = Infinity;
-  const clients = makeClients(world, fleet, seen, () => stopAt);
+  const waiting: { faults: Faults | undefined } = { faults: undefined };
+  const clients = makeClients(
+    world,
+    fleet,
+    seen,
+    () => stopAt,
+    (each) => waiting.faults?.acknowledged(each),
+  );
   const violations: Violation[] = [];
 
   let booted = false;
@@ -82,20 +126,18 @@
     from,
     until: stopAt,
     meanMs: options.meanFaultMs,
+    operate: clients.operate,
+    ...(options.mostFaults === undefined ? {} : { most: options.mostFaults }),
     ...(options.only ? { only: options.only } : {}),
   });
+  waiting.faults = faults;
   world.runUntil(stopAt);
   faults.heal();
   if (options.lastFault !== false) {
-    for (const machine of fleet.machines.values()) {
-      if (machine.role !== 'core' && machine.role !== 'store') continue;
-      machine.process.kill();
-      machine.disk.losePower();
-      world.after(world.between(100, 2000), machine.start);
-    }
-    faults.history.push(`${(world.now() / 1000).toFixed(3)} last fault: every disk loses its power`);
+    const wanted = options.lastFault ?? lastKinds[options.seed % lastKinds.length]!;
+    faults.last(wanted === 'disk lost' && !fleet.whole() ? 'power lost everywhere' : wanted);
   }
-  world.runUntil(stopAt + options.settleMs);
+  settle(world, fleet, clients, seen, stopAt + options.settleMs);
 
   let final: Final | undefined;
   fleet.client(
@@ -107,7 +149,7 @@
   const readUntil = world.now() + 120_000;
   while (final === undefined && world.now() < readUntil) world.runUntil(world.now() + 500);
   if (!final) violations.push({ rule: 'what was acknowledged can be read', what: 'the last read did not end' });
-  const judged = final ? judge(seen, fleet.sights, final) : { violations: [], checked: {} };
+  const judged = final ? judge(seen, fleet.sights, final, faults.calm) : { violations: [], checked: {} };
   return {
     seed: options.seed,
     violations: [...violations, ...judged.violations],
--- a/src/sim/faults.ts
+++ b/src/sim/faults.ts
@@ -1,254 +1,92 @@
-import type { Machine, SimFleet } from './simFleet.js';
+import { faultActs, type FaultKind, type Trouble } from './faultActs.js';
+import { lastFaults, type LastFault } from './lastFaults.js';
+import type { Seen } from './clients.js';
+import type { SimFleet } from './simFleet.js';
 import type { World } from './world.js';
 
-/** Faults that a run may bring about; each one undoes itself after a while. */
-export type FaultKind =
-  | 'kill'
-  | 'power loss'
-  | 'freeze'
-  | 'machine sleep'
-  | 'cut off'
-  | 'one-way cut'
-  | 'core cut'
-  | 'slow disk'
-  | 'stalled disk'
-  | 'full disk'
-  | 'all restart'
-  | 'empty disk'
-  | 'corrupt file'
-  | 'sampler crash'
-  | 'sampler dark'
-  | 'sampler slow'
-  | 'sampler cache drop'
-  | 'sampler leaves'
-  | 'sampler truncates';
+/** When faults may happen, and which. */
+export type FaultPlan = {
+  readonly from: number;
+  readonly until: number;
+  readonly meanMs: number;
+  readonly only?: ReadonlyArray<FaultKind>;
+  /** How many may happen at the most: the first so many of the seed's. */
+  readonly most?: number;
+  readonly operate: Trouble['operate'];
+};
 
-const every: ReadonlyArray<readonly [FaultKind, number]> = [
-  ['kill', 6],
-  ['power loss', 3],
-  ['freeze', 3],
-  ['machine sleep', 2],
-  ['cut off', 3],
-  ['one-way cut', 3],
-  ['core cut', 2],
-  ['slow disk', 2],
-  ['stalled disk', 2],
-  ['full disk', 1],
-  ['all restart', 1],
-  ['empty disk', 1],
-  ['corrupt file', 1],
-  ['sampler crash', 4],
-  ['sampler dark', 2],
-  ['sampler slow', 1],
-  ['sampler cache drop', 3],
-  ['sampler leaves', 3],
-  ['sampler truncates', 2],
-];
+/** How long after a fault's end the fleet may still be finding its feet: a full lease and a takeover. */
+const restMs = 9000;
 
-/** Lets faults happen between two times; answers how often each really occurred and how to undo what lasts. */
-export const makeFaults = (
-  world: World,
-  fleet: SimFleet,
-  options: {
-    readonly from: number;
-    readonly until: number;
-    readonly meanMs: number;
-    readonly only?: ReadonlyArray<FaultKind>;
-  },
-) => {
+/** Lets faults happen; tells how often each really occurred, when the fleet was calm, and undoes what lasts. */
+export const makeFaults = (world: World, fleet: SimFleet, plan: FaultPlan) => {
   const counts = new Map<string, number>();
   const history: string[] = [];
   const undo: Array<() => void> = [];
-  const all = [...fleet.machines.values()];
-  const of = (...roles: ReadonlyArray<Machine['role']>): ReadonlyArray<Machine> =>
-    all.filter((machine) => roles.includes(machine.role));
-  const pick = <A>(from: ReadonlyArray<A>): A => from[Math.floor(world.chance() * from.length)]!;
-  let emptied = false;
-  let damaged = false;
-
-  const restart = (machine: Machine, downMs: number): void => {
-    machine.process.kill();
-    world.after(downMs, () => {
-      if (!machine.process.alive()) machine.start();
-    });
-  };
-  const lasting = (ms: number, end: () => void): void => {
-    undo.push(end);
-    world.after(ms, end);
-  };
-  const apart = (machine: Machine, others: ReadonlyArray<Machine>, both: boolean): void => {
-    for (const other of others) {
-      if (other === machine) continue;
-      fleet.net.hears(machine.name, other.name, false);
-      if (both) fleet.net.hears(other.name, machine.name, false);
-    }
-    lasting(world.between(500, 9000), () => {
-      for (const other of others) {
-        fleet.net.hears(machine.name, other.name, true);
-        fleet.net.hears(other.name, machine.name, true);
-      }
-    });
-  };
+  const spans: Array<{ readonly from: number; until: number }> = [];
+  let damagedAt = -Infinity;
 
-  const act: Readonly<Record<FaultKind, () => string | undefined>> = {
-    kill: () => {
-      const machine = pick(of('core', 'store', 'front'));
-      restart(machine, world.between(100, 6000));
-      return machine.name;
-    },
-    'power loss': () => {
-      const machine = pick(of('core', 'store'));
+  const trouble: Trouble = {
+    world,
+    fleet,
+    operate: plan.operate,
+    lasting: (ms, end) => {
+      undo.push(end);
+      world.after(ms, end);
+      spans.push({ from: world.now(), until: world.now() + ms });
+    },
+    restart: (machine, downMs) => {
       machine.process.kill();
-      const lost = machine.disk.losePower();
-      restart(machine, world.between(100, 4000));
-      return `${machine.name} lost ${lost}`;
-    },
-    freeze: () => {
-      const machine = pick(of('core', 'store', 'front'));
-      machine.process.freeze();
-      lasting(world.between(300, 9000), () => machine.process.thaw(false));
-      return machine.name;
-    },
-    'machine sleep': () => {
-      const machine = pick(of('core', 'store', 'front'));
-      machine.process.freeze();
-      lasting(world.between(300, 9000), () => machine.process.thaw(true));
-      return machine.name;
-    },
-    'cut off': () => {
-      const machine = pick(of('core', 'store', 'front'));
-      apart(machine, of('core', 'store', 'front'), true);
-      return machine.name;
-    },
-    'one-way cut': () => {
-      const machine = pick(of('core', 'store', 'front'));
-      apart(machine, of('core', 'store', 'front'), false);
-      return machine.name;
-    },
-    'core cut': () => {
-      const cores = of('core');
-      const place = 1 + Math.floor(world.chance() * (cores.length - 1));
-      for (const machine of cores.slice(0, place)) apart(machine, cores.slice(place), true);
-      return `${place} of ${cores.length}`;
-    },
-    'slow disk': () => {
-      const machine = pick(of('core', 'store'));
-      machine.disk.trouble.slowBy = world.between(20, 400);
-      lasting(world.between(500, 9000), () => {
-        machine.disk.trouble.slowBy = 1;
-      });
-      return machine.name;
-    },
-    'stalled disk': () => {
-      const machine = pick(of('core', 'store'));
-      machine.disk.trouble.stalled = true;
-      lasting(world.between(500, 7000), () => {
-        machine.disk.trouble.stalled = false;
-      });
-      return machine.name;
-    },
-    'full disk': () => {
-      const machine = pick(of('core', 'store'));
-      machine.disk.trouble.full = true;
-      lasting(world.between(500, 7000), () => {
-        machine.disk.trouble.full = false;
+      spans.push({ from: world.now(), until: world.now() + downMs });
+      world.after(downMs, () => {
+        if (!machine.process.alive() && !machine.gone) machine.start();
       });
-      return machine.name;
     },
-    'all restart': () => {
-      for (const machine of of('core', 'store', 'front')) restart(machine, world.between(50, 1500));
-      return 'whole fleet';
-    },
-    'empty disk': () => {
-      if (emptied || damaged) return undefined;
-      emptied = true;
-      const machine = pick(of('core', 'store'));
-      machine.process.kill();
-      machine.disk.wipe();
-      restart(machine, world.between(100, 4000));
-      return machine.name;
-    },
-    'corrupt file': () => {
-      if (emptied || damaged) return undefined;
-      damaged = true;
-      const machine = pick(of('core', 'store'));
-      machine.process.kill();
-      const path = machine.disk.corrupt();
-      restart(machine, world.between(100, 2000));
-      return path && `${machine.name} ${path}`;
-    },
-    'sampler crash': () => {
-      const machine = pick(of('sampler'));
-      restart(machine, world.between(300, 8000));
-      return machine.name;
-    },
-    'sampler dark': () => {
-      const machine = pick(of('sampler'));
-      const standIn = machine.standIn;
-      if (!standIn) return undefined;
-      standIn.switches.dark = true;
-      standIn.dropCache();
-      lasting(world.between(1000, 9000), () => {
-        standIn.switches.dark = false;
-      });
-      return machine.name;
-    },
-    'sampler slow': () => {
-      const machine = pick(of('sampler'));
-      const standIn = machine.standIn;
-      if (!standIn) return undefined;
-      standIn.switches.slowBy = world.between(2, 20);
-      lasting(world.between(1000, 9000), () => {
-        standIn.switches.slowBy = 1;
-      });
-      return machine.name;
-    },
-    'sampler cache drop': () => {
-      const machine = pick(of('sampler'));
-      machine.standIn?.dropCache();
-      return machine.standIn && machine.name;
-    },
-    'sampler leaves': () => {
-      const machine = pick(of('sampler'));
-      if (!machine.standIn || !machine.process.alive()) return undefined;
-      machine.process.fork(machine.standIn.leave);
-      world.after(world.between(3000, 6000), () => restart(machine, world.between(100, 1500)));
-      return machine.name;
-    },
-    'sampler truncates': () => {
-      const machine = pick(of('sampler'));
-      const standIn = machine.standIn;
-      if (!standIn) return undefined;
-      standIn.switches.truncate = 1 + Math.floor(world.chance() * 8);
-      lasting(world.between(500, 4000), () => {
-        standIn.switches.truncate = 0;
-      });
-      return machine.name;
+    disturbed: (ms) => void spans.push({ from: world.now(), until: world.now() + ms }),
+    mayDamage: () => {
+      if (world.now() - damagedAt < 12_000 || !fleet.whole()) return false;
+      damagedAt = world.now();
+      return true;
     },
+    armed: { count: 0 },
   };
-
-  const choices = every.filter(([kind]) => options.only === undefined || options.only.includes(kind));
+  const act = faultActs(trouble);
+  const note = (kind: string, what: string): void => {
+    counts.set(kind, (counts.get(kind) ?? 0) + 1);
+    history.push(`${(world.now() / 1000).toFixed(3)} ${kind}: ${what}`);
+  };
+  const choices = faultActs.weights.filter(([kind]) => plan.only === undefined || plan.only.includes(kind));
   const total = choices.reduce((sum, [, weight]) => sum + weight, 0);
   const next = (): void => {
-    if (world.now() >= options.until) return;
+    if (world.now() >= plan.until || history.length >= (plan.most ?? Infinity)) return;
     let place = world.chance() * total;
     const [kind] = choices.find(([, weight]) => (place -= weight) < 0) ?? choices[0]!;
     const what = act[kind]();
-    if (what !== undefined) {
-      counts.set(kind, (counts.get(kind) ?? 0) + 1);
-      history.push(`${(world.now() / 1000).toFixed(3)} ${kind}: ${what}`);
-    }
-    world.after(-Math.log(1 - world.chance()) * options.meanMs, next);
+    if (what !== undefined) note(kind, what);
+    world.after(-Math.log(1 - world.chance()) * plan.meanMs, next);
   };
-  if (choices.length > 0) world.after(options.from - world.now(), next);
+  if (choices.length > 0) world.after(plan.from - world.now(), next);
 
   return {
     counts,
     history,
+    /** Whether nothing had been wrong for a while. */
+    calm: (at: number): boolean => !spans.some((span) => span.from <= at && at <= span.until + restMs),
+    /** What follows upon an acknowledgement, when a fault waits for one. */
+    acknowledged: (seen: Seen): void => {
+      if (trouble.armed.count === 0) return;
+      trouble.armed.count -= 1;
+      note('power lost on acknowledgement', `${act.onAcknowledged()} after ${seen.kind}`);
+    },
     heal: () => {
       for (const end of undo) end();
       fleet.net.heal();
-      for (const machine of all) if (!machine.process.alive()) machine.start();
+      for (const machine of fleet.machines.values()) if (!machine.process.alive() && !machine.gone) machine.start();
+      trouble.disturbed(0);
     },
+    last: (kind: LastFault): void => note(`last: ${kind}`, lastFaults[kind](trouble)),
   };
 };
+
+/** The faults of one day. */
+export type Faults = ReturnType<typeof makeFaults>;
--- a/src/sim/simDisk.ts
+++ b/src/sim/simDisk.ts
@@ -12,6 +12,8 @@
   readonly losePower: () => number;
   readonly wipe: () => void;
   readonly corrupt: () => string | undefined;
+  /** Takes one whole file away. */
+  readonly lose: () => string | undefined;
   readonly trouble: { slowBy: number; stalled: boolean; full: boolean };
   readonly syncs: () => number;
 };
@@ -56,6 +58,14 @@
       lasting = new Map(kept);
       return lost;
     },
+    lose: () => {
+      const records = [...names.keys()].filter((path) => path.endsWith('.rec'));
+      const chosen = records[Math.floor(world.chance() * records.length)];
+      if (chosen === undefined) return undefined;
+      names.delete(chosen);
+      lasting.delete(chosen);
+      return chosen;
+    },
     corrupt: () => {
       const records = [...names].filter(([path]) => path.endsWith('.rec') || path.endsWith('.chk'));
       const chosen = records[Math.floor(world.chance() * records.length)];
--- a/src/sim/simFleet.ts
+++ b/src/sim/simFleet.ts
@@ -14,17 +14,26 @@
 import { simNet, type SimNet } from './simNet.js';
 import type { Process, World } from './world.js';
 
+/** What a simulated machine does. */
+export type MachineRole = 'core' | 'store' | 'front' | 'sampler';
+
 /** A machine of the simulated fleet. */
 export type Machine = {
   readonly name: string;
-  readonly role: 'core' | 'store' | 'front' | 'sampler';
+  readonly role: MachineRole;
   readonly service: string;
+  readonly domain: string;
   readonly http: Address;
+  readonly peer: Address;
   readonly disk: SimDisk;
   process: Process;
   node: Node | undefined;
   standIn: StandIn | undefined;
+  /** A machine that is gone stays down whatever heals the fleet. */
+  gone: boolean;
   readonly start: () => void;
+  /** Gives it new addresses for its next start. */
+  readonly move: () => void;
 };
 
 /** A deployment inside a world. */
@@ -36,6 +45,10 @@
   readonly lines: ReadonlyArray<string>;
   readonly client: (name: string, work: Effect.Effect<void, never, Http | Timepiece>) => void;
   readonly given: Deployment;
+  /** Brings a machine of a role in that the deployment does not name. */
+  readonly join: (role: 'core' | 'store' | 'front') => Machine;
+  /** Whether every disk of the configured voters and stores is there, refilled and undamaged. */
+  readonly whole: () => boolean;
 };
 
 /** Boots a deployment in a world. */
@@ -43,33 +56,42 @@
   const net = simNet(world);
   const sights: Sight[] = [];
   const lines: string[] = [];
-  const nodes = deployment.nodes(given);
-  const peerOf = (index: number): Address => brands.address(`127.0.0.1:${7100 + index}`);
-  const samplerOf = (index: number): Address => brands.address(`127.0.0.1:${9100 + index}`);
-  const httpOf = (index: number): Address => brands.address(`127.0.0.1:${8100 + index}`);
-  const fronts = nodes.flatMap((node, index) => (node.role === 'front' ? [httpOf(index)] : []));
+  const fronts: Address[] = [];
   const machines = new Map<string, Machine>();
+  let places = 0;
+  const addresses = (): { peer: Address; http: Address } => {
+    places += 1;
+    return { peer: brands.address(`127.0.0.1:${7100 + places}`), http: brands.address(`127.0.0.1:${8100 + places}`) };
+  };
   const logFor = (process: Process): Context.Tag.Service<typeof Log> =>
     memoryLog({ node: process.name, wall: process.time.wall, most: 2000, print: (line) => void lines.push(line) });
+  const seeds = (): ReadonlyArray<Address> =>
+    [...machines.values()]
+      .filter((machine) => machine.role === 'core')
+      .slice(0, 3)
+      .map((machine) => machine.peer);
 
-  const add = (
-    name: string,
-    role: Machine['role'],
-    service: string,
-    http: Address,
-    boot: (machine: Machine) => Effect.Effect<void, unknown, Http | Timepiece | Log | Links | Disk>,
-  ): void => {
+  type Boot = (machine: Machine) => Effect.Effect<void, unknown, Http | Timepiece | Log | Links | Disk>;
+  const add = (place: Pick<Machine, 'name' | 'role' | 'service' | 'domain'>, boot: Boot): Machine => {
+    let at = addresses();
     const machine: Machine = {
-      name,
-      role,
-      service,
-      http,
+      ...place,
+      get peer() {
+        return at.peer;
+      },
+      get http() {
+        return at.http;
+      },
       disk: simDisk(world),
-      process: world.process(name),
+      process: world.process(place.name),
       node: undefined,
       standIn: undefined,
+      gone: false,
+      move: () => {
+        at = addresses();
+      },
       start: () => {
-        machine.process = world.process(name);
+        machine.process = world.process(place.name);
         const process = machine.process;
         process.fork(
           boot(machine).pipe(
@@ -80,47 +102,48 @@
             Effect.provideService(Timepiece, process.time),
           ),
           (exit) => {
-            if (exit._tag === 'Failure') {
-              lines.push(`node=${name} event=start_failed reason=${JSON.stringify(String(exit.cause)).slice(0, 300)}`);
-              process.kill();
-            }
+            if (exit._tag !== 'Failure') return;
+            const reason = JSON.stringify(String(exit.cause)).slice(0, 300);
+            lines.push(`node=${place.name} event=start_failed reason=${reason}`);
+            process.kill();
           },
         );
       },
     };
-    machines.set(name, machine);
-    machine.start();
+    machines.set(place.name, machine);
+    if (place.role === 'front') fronts.push(machine.http);
+    return machine;
   };
-
-  nodes.forEach((place, index) =>
-    add(place.name, place.role, '', httpOf(index), (machine) =>
+  const asNode = (name: string, domain: string, role: 'core' | 'store' | 'front'): Machine =>
+    add({ name, role, service: '', domain }, (machine) =>
       Effect.scoped(
         Effect.gen(function* () {
           const own: Settings = {
             ...settings.defaults,
             foundingCores: given.cores,
-            name: place.name,
-            domain: place.domain,
-            roles: [place.role],
-            peer: peerOf(index),
-            http: httpOf(index),
-            seeds: [0, 1, 2].map(peerOf),
-            ...(place.role === 'front' ? {} : { data: 'data' }),
+            name,
+            domain,
+            roles: [role],
+            peer: machine.peer,
+            http: machine.http,
+            seeds: seeds(),
+            ...(role === 'front' ? {} : { data: 'data' }),
             ...overrides,
           };
           machine.node = yield* startNode(own);
           yield* Effect.async<never>(() => undefined);
         }),
       ),
-    ),
-  );
-  deployment.samplers(given).forEach((sampler, index) =>
-    add(sampler.name, 'sampler', sampler.service, samplerOf(index), (machine) =>
+    );
+
+  for (const place of deployment.nodes(given)) asNode(place.name, place.domain, place.role);
+  for (const sampler of deployment.samplers(given)) {
+    add({ name: sampler.name, role: 'sampler', service: sampler.service, domain: sampler.domain }, (machine) =>
       Effect.scoped(
         Effect.gen(function* () {
           machine.standIn = yield* startStandIn({
             ...sampler,
-            address: samplerOf(index),
+            address: machine.http,
             fronts,
             version: sampler.kind === 'model' ? 1 : 0,
             saw: (sight) => void sights.push({ ...sight, at: world.now() }),
@@ -128,8 +151,31 @@
           yield* Effect.async<never>(() => undefined);
         }),
       ),
-    ),
-  );
+    );
+  }
+  for (const machine of machines.values()) machine.start();
+
+  const identities = (): ReadonlyMap<string, string> => {
+    const known = [...machines.values()].flatMap((machine) =>
+      machine.process.alive() && machine.node ? machine.node.context.news.nodes() : [],
+    );
+    return new Map(known.map((node) => [node.name, node.disk]));
+  };
+  const whole = (): boolean => {
+    const nodes = [...machines.values()].filter((machine) => machine.process.alive() && machine.node);
+    const known = nodes
+      .map((machine) => machine.node!.context.register.known())
+      .sort((left, right) => (right?.sequence ?? 0) - (left?.sequence ?? 0))[0]?.configuration;
+    if (!known || known.voters.length < given.cores || known.stores.previous.length > 0) return false;
+    const disks = identities();
+    const facts = (name: string) =>
+      machines.get(name)?.node?.context.facts()['store'] as { damaged: number } | undefined;
+    return (
+      [...known.voters, ...known.stores.current].every(
+        (member) => machines.get(member.name)?.process.alive() === true && disks.get(member.name) === member.disk,
+      ) && known.stores.current.every((store) => facts(store.name)?.damaged === 0)
+    );
+  };
 
   return {
     machines,
@@ -138,6 +184,13 @@
     sights,
     lines,
     given,
+    whole,
+    join: (role) => {
+      const number = [...machines.values()].filter((machine) => machine.role === role).length + 1;
+      const machine = asNode(`${role}${number}`, given.domains[number % given.domains.length]!, role);
+      machine.start();
+      return machine;
+    },
     client: (name, work) => {
       const process = world.process(name);
       process.fork(
--- a/src/sim/simNet.ts
+++ b/src/sim/simNet.ts
@@ -179,7 +179,11 @@
                 Effect.sync(() => forgets.forEach((forget) => forget())),
               ),
             );
-            const given: HttpAsk = { ...ask, body: Uint8Array.from(ask.body) };
+            const given: HttpAsk = {
+              ...ask,
+              body: Uint8Array.from(ask.body),
+              headers: { ...ask.headers, 'x-sim-from': process.name },
+            };
             carry(process, to.process, () =>
               to.process.fork(
                 Effect.withFiberRuntime<void>((fiber) => {
--- a/src/tests/disks.test.ts
+++ b/src/tests/disks.test.ts
@@ -10,7 +10,7 @@
 afterEach(switchOff.back);
 
 describe('disks', () => {
-  const powerless = { workMs: 9000, lastFault: true, settleMs: 25_000 };
+  const powerless = { workMs: 9000, lastFault: 'power lost everywhere' as const, settleMs: 25_000 };
   test('keep what was acknowledged when all lose their power at once', () => {
     expect(rulesOf(brokenOnPurpose({ seed: 241, ...powerless }))).toEqual([]);
   });
