--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -1,95 +1,156 @@
-import { fromBinary, toBinary } from '@bufbuild/protobuf';
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import { Effect, type Context } from 'effect';
 import { RecordSchema, type Record as Kept, type Vote } from '../gen/foxdeck_pb.js';
 import { Disk } from '../shared/disk.js';
 import { Fault } from '../shared/fault.js';
 import type { Log } from '../shared/log.js';
 import { sealedFiles } from '../shared/sealedFiles.js';
-import { table } from '../shared/table.js';
 import { acceptor } from './acceptor.js';
+import { openRecordIndex } from './recordIndex.js';
 
-type State = { readonly kept: ReadonlyMap<string, Kept>; readonly damaged: ReadonlySet<string> };
-type Step = ReturnType<typeof acceptor.read> extends Vote ? ReturnType<typeof acceptor.learn> : never;
+type Step = ReturnType<typeof acceptor.learn>;
 
-/** The write-once values that one disk holds, a file each. */
+/** The write-once values that one disk holds, a file each; memory holds what was voted, and the bodies used of late. */
 export type Records = {
-  readonly get: (key: string) => Kept | undefined;
-  readonly keys: () => ReadonlyArray<string>;
-  readonly damaged: () => ReadonlyArray<string>;
+  /** A record without its body. */
+  readonly head: (key: string) => Kept | undefined;
+  readonly full: (key: string) => Effect.Effect<Kept | undefined, Fault>;
+  readonly keys: () => Iterable<string>;
+  readonly size: () => number;
+  readonly damaged: () => ReadonlySet<string>;
   /** Applies a step to a key's record and answers only once its outcome lasts on disk. */
   readonly apply: (key: string, step: (record: Kept) => Step) => Effect.Effect<Vote, Fault>;
+  /** Takes records away for good. */
+  readonly remove: (keys: ReadonlyArray<string>) => Effect.Effect<void, Fault>;
 };
 
-const nameOf = (key: string): string => `${encodeURIComponent(key)}.rec`;
+const suffix = '.rec';
+const nameOf = (key: string): string => `${encodeURIComponent(key)}${suffix}`;
+const headOf = (record: Kept): Kept => create(RecordSchema, { ...record, value: new Uint8Array() });
+const bodiesMost = 4 * 1024 * 1024;
 
-/** Opens a folder of records; a file whose digest does not fit makes its key abstain until it is learnt anew. */
+/**
+ * Opens a folder of records. A file whose digest does not fit, or that the index names and that is not there, makes its
+ * key abstain until it is learnt anew. `noted` hears of every record that was found or written, `gone` of those removed.
+ */
 export const openRecords = (
   folder: string,
   log: Context.Tag.Service<typeof Log>,
+  noted: (key: string, record: Kept) => void = () => undefined,
+  gone: (key: string) => void = () => undefined,
 ): Effect.Effect<Records, Fault, Disk> =>
   Effect.gen(function* () {
     const disk = yield* Disk;
     yield* disk.makeFolder(folder);
-    const found = new Map<string, Kept>();
+    const heads = new Map<string, Kept>();
     const damaged = new Set<string>();
+    const bodies = new Map<string, Uint8Array>();
+    let held = 0;
+    const index = yield* openRecordIndex(`${folder}-index`, log);
+    const hold = (key: string, body: Uint8Array): void => {
+      held += body.length - (bodies.get(key)?.length ?? 0);
+      bodies.delete(key);
+      bodies.set(key, body);
+      for (const [oldest, old] of bodies) {
+        if (held <= bodiesMost || oldest === key) break;
+        bodies.delete(oldest);
+        held -= old.length;
+      }
+    };
+    const note = (key: string, record: Kept): void => {
+      heads.set(key, headOf(record));
+      hold(key, record.value);
+      damaged.delete(key);
+      noted(key, record);
+    };
+    const spoilt = (key: string, reason: string): void => {
+      heads.delete(key);
+      damaged.add(key);
+      log.event('record_damaged', { key, reason });
+    };
     for (const name of yield* disk.list(folder)) {
-      if (!name.endsWith('.rec')) {
+      if (!name.endsWith(suffix)) {
         yield* Effect.ignore(disk.remove(`${folder}/${name}`));
         continue;
       }
-      const key = decodeURIComponent(name.slice(0, -4));
+      const key = decodeURIComponent(name.slice(0, -suffix.length));
       const body = yield* Effect.either(sealedFiles.read(folder, name));
-      if (body._tag === 'Right') found.set(key, fromBinary(RecordSchema, body.right));
-      else {
-        damaged.add(key);
-        log.event('record_damaged', { key, reason: body.left.reason });
-      }
+      if (body._tag === 'Right') note(key, fromBinary(RecordSchema, body.right));
+      else spoilt(key, body.left.reason);
     }
-    const state = table<State>({ kept: found, damaged });
+    for (const key of index.names()) if (!heads.has(key) && !damaged.has(key)) spoilt(key, 'its file is gone');
+
     const lanes = new Map<string, { readonly lane: Effect.Semaphore; waiting: number }>();
     const inLane = <A>(key: string, work: Effect.Effect<A, Fault>): Effect.Effect<A, Fault> =>
       Effect.suspend(() => {
         const entry = lanes.get(key) ?? { lane: Effect.unsafeMakeSemaphore(1), waiting: 0 };
         lanes.set(key, entry);
         entry.waiting += 1;
-        return entry.lane
-          .withPermits(1)(work)
-          .pipe(
-            Effect.ensuring(
-              Effect.sync(() => {
-                entry.waiting -= 1;
-                if (entry.waiting === 0) lanes.delete(key);
-              }),
-            ),
-          );
+        const leave = Effect.sync(() => {
+          entry.waiting -= 1;
+          if (entry.waiting === 0) lanes.delete(key);
+        });
+        return entry.lane.withPermits(1)(work).pipe(Effect.ensuring(leave));
+      });
+    const full = (key: string): Effect.Effect<Kept | undefined, Fault> =>
+      Effect.gen(function* () {
+        const head = heads.get(key);
+        if (!head) return undefined;
+        const body = bodies.get(key);
+        if (body) {
+          hold(key, body);
+          return { ...head, value: body };
+        }
+        const read = yield* Effect.either(
+          sealedFiles.read(folder, nameOf(key)).pipe(Effect.provideService(Disk, disk)),
+        );
+        if (read._tag === 'Left') {
+          if (read.left.step === 'unseal') spoilt(key, read.left.reason);
+          return yield* read.left;
+        }
+        const record = fromBinary(RecordSchema, read.right);
+        if (heads.has(key)) hold(key, record.value);
+        return record;
       });
     return {
-      get: (key) => state.get().kept.get(key),
-      keys: () => [...state.get().kept.keys()],
-      damaged: () => [...state.get().damaged],
+      head: (key) => heads.get(key),
+      full,
+      keys: () => heads.keys(),
+      size: () => heads.size,
+      damaged: () => damaged,
       apply: (key, step) =>
         inLane(
           key,
           Effect.uninterruptible(
             Effect.gen(function* () {
-              const taken = step(state.get().kept.get(key) ?? acceptor.fresh(key));
-              if (state.get().damaged.has(key) && !taken.record.chosen) {
+              const taken = step((yield* full(key)) ?? acceptor.fresh(key));
+              if (damaged.has(key) && !taken.record.chosen) {
                 return yield* new Fault({ step: 'record', reason: `${key} is damaged here; this disk abstains` });
               }
               if (taken.changed) {
                 yield* sealedFiles
                   .write(folder, nameOf(key), toBinary(RecordSchema, taken.record))
                   .pipe(Effect.provideService(Disk, disk));
-                state.swap((now) => ({
-                  kept: new Map(now.kept).set(key, taken.record),
-                  damaged: now.damaged.has(key)
-                    ? new Set([...now.damaged].filter((other) => other !== key))
-                    : now.damaged,
-                }));
+                if (!index.has(key)) yield* index.add(key);
+                note(key, taken.record);
               }
               return taken.vote;
             }),
           ),
         ),
+      remove: (keys) =>
+        Effect.gen(function* () {
+          const there = keys.filter((key) => heads.has(key) || damaged.has(key));
+          if (there.length === 0) return;
+          yield* index.remove(there);
+          for (const key of there) {
+            yield* inLane(key, disk.remove(`${folder}/${nameOf(key)}`));
+            heads.delete(key);
+            damaged.delete(key);
+            held -= bodies.get(key)?.length ?? 0;
+            bodies.delete(key);
+            gone(key);
+          }
+        }),
     };
   });
--- a/src/core/voter.ts
+++ b/src/core/voter.ts
@@ -19,6 +19,7 @@
 import type { Timepiece } from '../shared/timepiece.js';
 import { acceptor } from './acceptor.js';
 import type { Records } from './records.js';
+import type { VoterIndex } from './voterIndex.js';
 
 type Granted = { readonly address: string; readonly sequence: number; readonly until: number };
 type Duty = { readonly holder: string; readonly token: number; readonly until: number };
@@ -26,7 +27,8 @@
 /** A core's vote: the register's records, and the leases that it granted. */
 export type Voter = {
   readonly handle: (ask: Ask) => Option.Option<Effect.Effect<Answer, Fault>>;
-  readonly chosen: () => { readonly sequence: number; readonly value: Uint8Array } | undefined;
+  readonly chosen: Effect.Effect<{ readonly sequence: number; readonly value: Uint8Array } | undefined, Fault>;
+  readonly sequence: () => number;
   readonly missing: () => ReadonlyArray<number>;
   readonly fresh: () => boolean;
 };
@@ -38,6 +40,7 @@
 export const makeVoter = (options: {
   readonly disk: string;
   readonly records: Records;
+  readonly index: VoterIndex;
   readonly restarted: boolean;
   readonly leaseMs: number;
   readonly dutyLeaseMs: number;
@@ -45,7 +48,7 @@
   readonly log: Context.Tag.Service<typeof Log>;
   readonly learnt: (value: Uint8Array) => void;
 }): Voter => {
-  const { records, time } = options;
+  const { records, index, time } = options;
   const grants = table<ReadonlyMap<string, Granted>>(new Map());
   const duties = table<ReadonlyMap<string, Duty>>(new Map());
   const pending = table<ReadonlyArray<number>>([]);
@@ -53,14 +56,10 @@
   const learntAt = new Map<number, number>();
   const silent = (): boolean =>
     options.restarted && time.granted() < startedAt + Math.max(options.leaseMs, options.dutyLeaseMs);
-  const sequences = (fits: (key: string) => boolean): number =>
-    Math.max(0, ...records.keys().filter(fits).map(sequenceOf));
+  /** A sequence whose record was lost here counts as accepted: what was vouched for is not known any more. */
   const accepted = (): number =>
-    Math.max(
-      sequences((key) => records.get(key)?.accepted !== undefined),
-      ...pending.get(),
-    );
-  const chosenSequence = (): number => sequences((key) => records.get(key)?.chosen === true);
+    Math.max(index.highestAccepted(), ...pending.get(), ...[...records.damaged()].map(sequenceOf));
+  const chosenSequence = index.highestChosen;
 
   const reported = (sequence: number): ReadonlyArray<Grant> =>
     [...grants.get()]
@@ -79,25 +78,24 @@
       value: create(VoteSchema, { ...vote, highest: accepted(), grants: [...reported(sequence)] }),
     });
 
-  const mayVote = (sequence: number, value: Uint8Array | undefined): string | undefined => {
-    if (silent()) return 'restarted; waits out a full lease before it votes';
-    if (sequence === 1) {
-      if (chosenSequence() > 0 && !records.get(keyOf(1))) return 'founded already';
-      const named = value && (JSON.parse(fromBinary(RegisterValueSchema, value).configuration) as Configuration).voters;
-      return named && !named.some((voter) => voter.disk === options.disk) ? 'not among the founders' : undefined;
-    }
-    const before = records.get(keyOf(sequence - 1));
-    if (!before?.chosen) return `has not learnt sequence ${sequence - 1}`;
-    const configuration = JSON.parse(fromBinary(RegisterValueSchema, before.value).configuration) as Configuration;
-    if (!configuration.voters.some((voter) => voter.disk === options.disk)) return 'is no voter for this sequence';
-    if (
-      configuration.formerVoters.length > 0 &&
-      time.granted() < (learntAt.get(sequence - 1) ?? startedAt) + options.leaseMs
-    ) {
-      return 'the voters changed; waits out a full lease';
-    }
-    return undefined;
-  };
+  const mayVote = (sequence: number, value: Uint8Array | undefined): Effect.Effect<string | undefined, Fault> =>
+    Effect.gen(function* () {
+      if (silent()) return 'restarted; waits out a full lease before it votes';
+      if (sequence === 1) {
+        if (chosenSequence() > 0 && !records.head(keyOf(1))) return 'founded already';
+        const named =
+          value && (JSON.parse(fromBinary(RegisterValueSchema, value).configuration) as Configuration).voters;
+        return named && !named.some((voter) => voter.disk === options.disk) ? 'not among the founders' : undefined;
+      }
+      const before = yield* records.full(keyOf(sequence - 1));
+      if (!before?.chosen) return `has not learnt sequence ${sequence - 1}`;
+      const configuration = JSON.parse(fromBinary(RegisterValueSchema, before.value).configuration) as Configuration;
+      if (!configuration.voters.some((voter) => voter.disk === options.disk)) return 'is no voter for this sequence';
+      const since = learntAt.get(sequence - 1) ?? startedAt;
+      return configuration.formerVoters.length > 0 && time.granted() < since + options.leaseMs
+        ? 'the voters changed; waits out a full lease'
+        : undefined;
+    });
 
   const voting = (
     disk: string,
@@ -105,12 +103,10 @@
     value: Uint8Array | undefined,
     work: Effect.Effect<Vote, Fault>,
   ): Effect.Effect<Answer, Fault> =>
-    Effect.suspend(() => {
-      if (disk !== options.disk) return Effect.succeed(answers.bounce('vote', 'meant for another disk'));
-      const no = records.get(key)?.chosen ? undefined : mayVote(sequenceOf(key), value);
-      return no === undefined
-        ? Effect.map(work, (vote) => voted(vote, sequenceOf(key)))
-        : Effect.succeed(answers.bounce('vote', no));
+    Effect.gen(function* () {
+      if (disk !== options.disk) return answers.bounce('vote', 'meant for another disk');
+      const no = records.head(key)?.chosen ? undefined : yield* mayVote(sequenceOf(key), value);
+      return no === undefined ? voted(yield* work, sequenceOf(key)) : answers.bounce('vote', no);
     });
 
   const accept = (key: string, ballot: Ballot, value: Uint8Array): Effect.Effect<Vote, Fault> => {
@@ -130,7 +126,7 @@
 
   const learn = (key: string, ballot: Ballot, value: Uint8Array): Effect.Effect<Answer, Fault> =>
     Effect.gen(function* () {
-      if (!records.get(key)?.chosen) {
+      if (!records.head(key)?.chosen) {
         yield* records.apply(key, (record) => acceptor.learn(record, ballot, value));
         learntAt.set(sequenceOf(key), time.granted());
       }
@@ -179,16 +175,21 @@
     return answer(true);
   };
 
+  const told = (sequence: number | undefined, none: string): Effect.Effect<Answer, Fault> =>
+    Effect.gen(function* () {
+      const record = sequence === undefined ? undefined : yield* records.full(keyOf(sequence));
+      if (sequence === undefined || !record) return answers.bounce('chosen', none);
+      return answers.answer({ case: 'chosen', value: create(ChosenSchema, { sequence, value: record.value }) });
+    });
+
   return {
-    chosen: () => {
+    chosen: Effect.gen(function* () {
       const sequence = chosenSequence();
-      const record = records.get(keyOf(sequence));
+      const record = sequence === 0 ? undefined : yield* records.full(keyOf(sequence));
       return record && { sequence, value: record.value };
-    },
-    missing: () =>
-      Array.from({ length: chosenSequence() }, (_, place) => place + 1).filter(
-        (sequence) => !records.get(keyOf(sequence))?.chosen,
-      ),
+    }),
+    sequence: chosenSequence,
+    missing: index.missing,
     fresh: () => chosenSequence() === 0,
     handle: (ask) => {
       const { kind } = ask;
@@ -216,14 +217,11 @@
         case 'read':
           if (kind.value.target?.role !== 'core') return Option.none();
           return Option.some(
-            Effect.sync(() => {
+            Effect.gen(function* () {
+              const { key } = kind.value;
               if (kind.value.target!.disk !== options.disk) return answers.bounce('read', 'meant for another disk');
-              if (records.damaged().includes(kind.value.key))
-                return answers.bounce('read', `${kind.value.key} is damaged here`);
-              return voted(
-                acceptor.read(records.get(kind.value.key) ?? acceptor.fresh(kind.value.key)),
-                sequenceOf(kind.value.key),
-              );
+              if (records.damaged().has(key)) return answers.bounce('read', `${key} is damaged here`);
+              return voted(acceptor.read((yield* records.full(key)) ?? acceptor.fresh(key)), sequenceOf(key));
             }),
           );
         case 'learn':
@@ -231,34 +229,9 @@
             ? Option.some(learn(kind.value.key, kind.value.ballot!, kind.value.value))
             : Option.none();
         case 'since':
-          return Option.some(
-            Effect.sync(() => {
-              const sequence = Math.min(
-                ...records
-                  .keys()
-                  .filter((key) => records.get(key)?.chosen)
-                  .map(sequenceOf)
-                  .filter((each) => each > kind.value.sequence),
-              );
-              const record = records.get(keyOf(sequence));
-              return record
-                ? answers.answer({ case: 'chosen', value: create(ChosenSchema, { sequence, value: record.value }) })
-                : answers.bounce('since', 'nothing later');
-            }),
-          );
+          return Option.some(told(index.after(kind.value.sequence), 'nothing later'));
         case 'findChange':
-          return Option.some(
-            Effect.sync(() => {
-              for (const key of records.keys()) {
-                const record = records.get(key)!;
-                if (!record.chosen) continue;
-                const value = fromBinary(RegisterValueSchema, record.value);
-                if (value.changeId === kind.value.id)
-                  return answers.answer({ case: 'chosen', value: { sequence: value.sequence, value: record.value } });
-              }
-              return answers.bounce('findChange', 'not known here');
-            }),
-          );
+          return Option.some(told(index.ofChange(kind.value.id), 'not known here'));
         case 'lease':
           return Option.some(Effect.sync(() => lease(kind.value)));
         case 'duty':
--- a/src/front/controlFace.ts
+++ b/src/front/controlFace.ts
@@ -33,6 +33,11 @@
   }
 };
 
+// Leaving is final within an incarnation: it ranks above whatever the sampler announces besides, in whatever order
+// the news of it travels, and is told for longer than a lease.
+const leavingRank = 2 ** 31;
+const leavingMs = 30_000;
+
 /** The operators', samplers' and trainers' control calls; any node takes them. */
 export const makeControlFace = (context: NodeContext) => {
   const { register, news } = context;
@@ -45,13 +50,14 @@
     const given = shape.value;
     const source = `sampler/${given.name}`;
     const before = news.newest(source);
+    const leaving = given.state === 'leaving';
     const taken = news.tell({
       source,
       incarnation: given.incarnation,
-      sequence: given.sequence,
+      sequence: leaving ? given.sequence + leavingRank : given.sequence,
       kind: 'sampler',
       body: given,
-      left: context.settings.samplerLeaseMs,
+      left: leaving ? leavingMs : context.settings.samplerLeaseMs,
     });
     if (!taken)
       return replies.bounce(409, 'a later announcement is known', undefined, {
--- a/src/front/lot.ts
+++ b/src/front/lot.ts
@@ -102,6 +102,7 @@
   keys: {
     lot: (id: string): string => `lot/${id}`,
     end: (id: string): string => `end/${id}`,
+    retired: (id: string): string => `retired/${id}`,
     result: (item: string): string => `result/${item}`,
     rating: (item: string): string => `rating/${item}`,
     item: (id: string, group: number, item: number): string => `${id}/${group}/${item}`,
--- a/src/front/lotBook.ts
+++ b/src/front/lotBook.ts
@@ -39,6 +39,7 @@
     item: string,
     pieces: ReadonlyArray<TextPiece>,
     place: SavedPlace,
+    from = 0,
   ): Checkpoint =>
     create(CheckpointSchema, {
       key: checkpointKey(duty, item),
@@ -46,7 +47,10 @@
       count: pieces.length + (place.final ? 1 : 0),
       state: JSON.stringify(place),
       promptTokens: place.promptTokens,
-      pieces: pieces.map((piece, index) => ({ $typeName: 'foxdeck.Piece' as const, index, ...piece })),
+      from,
+      pieces: pieces
+        .slice(from)
+        .map((piece, index) => ({ $typeName: 'foxdeck.Piece' as const, index: from + index, ...piece })),
     });
   return {
     read,
@@ -55,19 +59,15 @@
     lot: (id: string) => read<Lot>(lot.keys.lot(id)),
     end: (id: string) => read<{ reason: string }>(lot.keys.end(id)),
     result: (item: string) => read<ItemResult>(lot.keys.result(item)),
+    retired: (id: string) => read<{ reason: string }>(lot.keys.retired(id)),
     rating: (item: string) => read<Rating>(lot.keys.rating(item)),
-    /** The lots of a service that are not ended, among those not known yet. */
+    /** The lots that some store does not know to be ended, among those not known yet. */
     openLots: (
       known: (id: string) => boolean,
     ): Effect.Effect<{ readonly ids: ReadonlyArray<string>; readonly complete: boolean }, Fault> =>
       Effect.gen(function* () {
-        const ended = yield* archive.list('end/');
-        const lots = yield* archive.list('lot/');
-        const over = new Set(ended.keys.map((key) => key.slice('end/'.length)));
-        return {
-          ids: lots.keys.map((key) => key.slice('lot/'.length)).filter((id) => !over.has(id) && !known(id)),
-          complete: lots.complete,
-        };
+        const { keys, complete } = yield* archive.list('open/');
+        return { ids: keys.map((key) => key.slice('open/'.length)).filter((id) => !known(id)), complete };
       }),
     load: (id: string, duty: string, token: number): Effect.Effect<FoundLot | undefined, Fault> =>
       Effect.gen(function* () {
--- a/src/front/lotsFace.ts
+++ b/src/front/lotsFace.ts
@@ -45,6 +45,7 @@
       ];
       if (reasons.length > 0) return replies.bounce(400, 'the lot names what is not there', undefined, { reasons });
       const id = lot.idOf(given.key);
+      if (yield* book.retired(id)) return replies.bounce(410, 'the lot was retired', undefined, { id });
       const chosen = yield* book.once<Lot>(lot.keys.lot(id), given);
       if (JSON.stringify(chosen) !== JSON.stringify(given))
         return replies.bounce(409, `another lot was taken under the key ${given.key}`, undefined, { id });
@@ -180,15 +181,26 @@
       return replies.json(200, { id, state: chosen.reason === 'complete' ? 'complete' : 'ended' });
     });
 
+  /** Lets a lot that came to its end be forgotten; the sweep takes its records away. */
+  const retire = (id: string): Effect.Effect<HttpReply, Fault> =>
+    Effect.gen(function* () {
+      if (!(yield* book.end(id))) return replies.bounce(409, 'the lot is open; end it first', undefined, { id });
+      yield* book.once(lot.keys.retired(id), { reason: 'retired' });
+      context.log.event('lot_retired', { lot: id });
+      return replies.json(200, { id, state: 'retired' });
+    });
+
   return (ask: HttpAsk): Effect.Effect<HttpReply> =>
     Effect.gen(function* () {
       const [, , , id, part, group, item, last] = ask.path.split('?')[0]!.split('/');
       if (id === undefined)
         return ask.method === 'POST' ? yield* hand(ask) : replies.bounce(405, 'lots are handed over by POST');
       const found = yield* book.lot(id);
+      if (!found && (yield* book.retired(id))) return replies.bounce(410, 'the lot was retired', undefined, { id });
       if (!found) return replies.bounce(404, `no lot ${id}`);
       if (part === undefined && ask.method === 'GET') return yield* show(id, found);
       if (part === 'end' && ask.method === 'POST') return yield* end(id, found);
+      if (part === 'retire' && ask.method === 'POST') return yield* retire(id);
       if (part === 'items' && ask.method === 'GET') {
         if (found.groups[Number(group)]?.items[Number(item)] === undefined) return replies.bounce(404, 'no such item');
         const key = lot.keys.item(id, Number(group), Number(item));
--- a/src/front/seaterTexts.ts
+++ b/src/front/seaterTexts.ts
@@ -23,20 +23,28 @@
         byLot,
         ([id, entries]) =>
           Effect.gen(function* () {
-            const saved = entries.map(([key, text]) => ({ key, text, count: text.pieces.length, final: text.final }));
-            const checkpoints = saved.map(({ key, text, count, final }) => {
-              const item = state.get().items.get(key);
-              const version = text.pieces.at(-1)?.version ?? 0;
-              return book.checkpoint(duty, token, key, text.pieces.slice(0, count), {
-                final,
-                failure: text.failure,
-                sampler: item?.sampler,
-                incarnation: item?.holderIncarnation ?? 0,
-                version,
-                promptTokens: text.promptTokens,
+            const saved = entries.map(([key, text]) => ({
+              key,
+              text,
+              from: text.confirmed,
+              count: text.pieces.length,
+              final: text.final,
+            }));
+            const written = (whole: boolean) =>
+              saved.map(({ key, text, from, count, final }) => {
+                const item = state.get().items.get(key);
+                const place = {
+                  final,
+                  failure: text.failure,
+                  sampler: item?.sampler,
+                  incarnation: item?.holderIncarnation ?? 0,
+                  version: text.pieces.at(-1)?.version ?? 0,
+                  promptTokens: text.promptTokens,
+                };
+                return book.checkpoint(duty, token, key, text.pieces.slice(0, count), place, whole ? 0 : from);
               });
-            });
-            yield* archive.put(id, duty, checkpoints);
+            const checkpoints = written(false);
+            yield* archive.put(id, duty, checkpoints, written(true));
             if (!held()) return yield* new Fault({ step: 'checkpoint', reason: 'the duty is no longer held' });
             for (const { text, count, final } of saved) {
               text.confirmed = Math.max(text.confirmed, count);
--- a/src/node/duties.ts
+++ b/src/node/duties.ts
@@ -2,7 +2,7 @@
 import { paxos } from '../core/paxos.js';
 import { makeSeater, type Seater } from '../front/seater.js';
 import { rendezvous } from '../shared/rendezvous.js';
-import type { Table } from '../shared/table.js';
+import { table, type Table } from '../shared/table.js';
 import type { NodeContext } from './nodeContext.js';
 import { makeSteward } from './steward.js';
 import { sweepStores, type Swept } from './sweep.js';
@@ -17,6 +17,8 @@
   work: Effect.Effect<unknown, unknown, Scope.Scope>,
 ) => Effect.Effect<unknown, never, Scope.Scope>;
 
+const forgetMs = 60_000;
+
 /** The duties that a front competes for: each service's seat, the calendar, the sweep. */
 export const makeDuties = (options: {
   readonly context: NodeContext;
@@ -68,6 +70,13 @@
         yield* seater.run;
       }),
     );
+  const retiredAt = table<ReadonlyMap<string, number>>(new Map());
+  /** A retired lot's records go only once no hand-over of its key can still be under way. */
+  const forgets = (lot: string): boolean => {
+    const now = time.held();
+    const since = retiredAt.swap((before) => (before.has(lot) ? before : new Map(before).set(lot, now))).get(lot)!;
+    return now - since > forgetMs;
+  };
   const sweeping = (token: number) =>
     task(
       'sweep',
@@ -77,7 +86,7 @@
         const moving = (stores?.previous.length ?? 0) > 0;
         if (!stores || stores.current.length === 0) return;
         if (moving) yield* Effect.sleep(settings.leaseMs);
-        const swept = yield* sweepStores(context, () => leases.duty('sweep') === token, moving ? 2 : 5);
+        const swept = yield* sweepStores(context, () => leases.duty('sweep') === token, moving ? 2 : 5, forgets);
         lastSweep.swap((before) => ({
           swept,
           clean:
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -4,6 +4,7 @@
 import { openRecords } from '../core/records.js';
 import { makeRegister } from '../core/register.js';
 import { makeVoter, type Voter } from '../core/voter.js';
+import { makeVoterIndex } from '../core/voterIndex.js';
 import type { Answer, Ask } from '../gen/foxdeck_pb.js';
 import { answers } from '../shared/answers.js';
 import { Disk } from '../shared/disk.js';
@@ -92,11 +93,13 @@
       time,
     });
 
+    const voterIndex = makeVoterIndex();
     const voter: Voter | undefined =
       has('core') && disk
         ? makeVoter({
             disk: disk.id,
-            records: yield* openRecords('register', log),
+            index: voterIndex,
+            records: yield* openRecords('register', log, voterIndex.noted),
             restarted: !disk.fresh,
             leaseMs: settings.leaseMs,
             dutyLeaseMs: 3000,
@@ -110,12 +113,11 @@
         ? yield* openShelf({
             disk: disk.id,
             folder: 'checkpoints',
-            records: yield* openRecords('records', log),
             configuration: () => register.known()?.configuration,
             log,
           })
         : undefined;
-    const chosen = voter?.chosen();
+    const chosen = voter ? yield* voter.chosen : undefined;
     if (chosen) register.learn(chosen.value);
 
     const askSeater: NodeContext['seater'] = (service, call, body) =>
--- a/src/node/sweep.ts
+++ b/src/node/sweep.ts
@@ -14,7 +14,13 @@
 };
 
 /** One pass: every record is brought to each replica that lacks it; what can't be is counted as left. */
-export const sweepStores = (context: NodeContext, held: () => boolean, pauseMs: number): Effect.Effect<Swept, Fault> =>
+export const sweepStores = (
+  context: NodeContext,
+  held: () => boolean,
+  pauseMs: number,
+  /** Whether a retired lot's records may go now. */
+  forgets: (lot: string) => boolean,
+): Effect.Effect<Swept, Fault> =>
   Effect.gen(function* () {
     const { archive, register } = context;
     const set = register.known()?.configuration.stores;
@@ -30,9 +36,16 @@
       else silent.push(store);
     }
     const everyKey = [...new Set([...listings.values()].flatMap((keys) => [...keys]))].sort();
+    const retired = new Set(everyKey.filter((key) => key.startsWith('retired/')).map(archive.shardOf));
+    for (const lot of retired) {
+      const kept = everyKey.some((key) => archive.shardOf(key) === lot && !key.startsWith('retired/'));
+      if (!kept || !forgets(lot)) continue;
+      yield* Effect.forEach(all, (store) => Effect.ignore(archive.retire(store, lot)));
+    }
     let mended = 0;
     let left = 0;
     for (const key of everyKey) {
+      if (retired.has(archive.shardOf(key)) && !key.startsWith('retired/')) continue;
       if (!held()) return yield* new Fault({ step: 'sweep', reason: 'the duty is no longer held' });
       const electorate = yield* archive.electorate(archive.shardOf(key));
       const replicas = electorate.groups[0]!;
--- a/src/node/upkeep.ts
+++ b/src/node/upkeep.ts
@@ -65,7 +65,7 @@
       }
     }
     const known = register.known();
-    if (voter && known && known.sequence > (voter.chosen()?.sequence ?? 0)) {
+    if (voter && known && known.sequence > voter.sequence()) {
       yield* handle(
         answers.ask({
           case: 'learn',
--- a/src/shared/configuration.ts
+++ b/src/shared/configuration.ts
@@ -10,6 +10,8 @@
   readonly path: string;
   readonly methods: ReadonlyArray<string>;
   readonly service: string;
+  /** Hundredths of the requests by service, where it is not one service that takes them all. */
+  readonly shares?: Readonly<Record<string, number>>;
   readonly onceOnly?: boolean;
   readonly timeLeftMs?: number;
   readonly bodyLimit?: number;
@@ -168,8 +170,12 @@
   const voters = mergeVoters(before.voters, change.voters, seen, reasons);
   const claimed = new Map<string, string>();
   for (const [name, binding] of Object.entries(bindings)) {
-    if (services[binding.service] === undefined)
-      reasons.push({ path: `bindings.${name}.service`, message: `no service named ${binding.service}` });
+    for (const service of new Set([binding.service, ...Object.keys(binding.shares ?? {})])) {
+      const path = service === binding.service ? `bindings.${name}.service` : `bindings.${name}.shares.${service}`;
+      if (services[service] === undefined) reasons.push({ path, message: `no service named ${service}` });
+    }
+    const total = Object.values(binding.shares ?? { all: 100 }).reduce((sum, share) => sum + share, 0);
+    if (total !== 100) reasons.push({ path: `bindings.${name}.shares`, message: `add up to ${total}, not to 100` });
     if (binding.path.startsWith('/foxdeck/') || binding.path === '/foxdeck')
       reasons.push({ path: `bindings.${name}.path`, message: '/foxdeck is kept for control calls' });
     for (const method of binding.methods) {
@@ -215,6 +221,11 @@
   return reasons.length > 0 ? Result.err(reasons) : Result.ok(next);
 };
 
+const servicesOf = (binding: Binding): ReadonlyArray<string> =>
+  binding.shares === undefined
+    ? [binding.service]
+    : Object.keys(binding.shares).filter((service) => binding.shares![service]! > 0);
+
 /** The bindings for a path: the longest prefix, at a segment's end. */
 const match = (now: Configuration, path: string): ReadonlyArray<readonly [string, Binding]> => {
   const fits = Object.entries(now.bindings).filter(
@@ -232,5 +243,12 @@
   match,
   /** Whether a request may go to a service. */
   allows: (now: Configuration, path: string, method: string, service: string): boolean =>
-    match(now, path).some(([, binding]) => binding.service === service && binding.methods.includes(method)),
+    match(now, path).some(([, binding]) => servicesOf(binding).includes(service) && binding.methods.includes(method)),
+  servicesOf,
+  /** The service for one request; `chance` is in [0, 1). */
+  serviceFor: (binding: Binding, chance: number): string => {
+    let place = chance * 100;
+    const found = Object.entries(binding.shares ?? {}).find(([, share]) => (place -= share) < 0);
+    return found?.[0] ?? binding.service;
+  },
 };
--- a/src/sim/oracle.ts
+++ b/src/sim/oracle.ts
@@ -14,6 +14,8 @@
     readonly configuration: Configuration;
   }>;
   readonly sequence: number;
+  /** When the newest configuration was asked for; what was told later is not judged by it. */
+  readonly askedAt: number;
   readonly lots: ReadonlyMap<
     string,
     {
--- a/src/sim/readFinal.ts
+++ b/src/sim/readFinal.ts
@@ -34,5 +34,5 @@
       }
       lots.set(id, { status: lot.status, state: String(lot.body['state']), items });
     }
-    return { chain, sequence, lots };
+    return { chain, sequence, askedAt: shown.asked, lots };
   });
--- a/src/store/archive.ts
+++ b/src/store/archive.ts
@@ -20,7 +20,13 @@
   readonly decide: (key: string, value: Uint8Array) => Effect.Effect<Decision, Fault>;
   readonly read: (key: string) => Effect.Effect<Uint8Array | undefined, Fault>;
   /** Puts checkpoints on a majority; a fault with a token means that a later holder of the duty is known. */
-  readonly put: (shard: string, duty: string, checkpoints: ReadonlyArray<Checkpoint>) => Effect.Effect<void, Fault>;
+  readonly put: (
+    shard: string,
+    duty: string,
+    checkpoints: ReadonlyArray<Checkpoint>,
+    /** The same from their beginnings, for a store that lacks what came before. */
+    whole?: ReadonlyArray<Checkpoint>,
+  ) => Effect.Effect<void, Fault>;
   readonly get: (
     shard: string,
     duty: string,
@@ -39,10 +45,15 @@
     keys: ReadonlyArray<string>,
     duty: string,
   ) => Effect.Effect<ReadonlyArray<Checkpoint>, Fault>;
+  /** Has a store take away what it keeps of a lot that was retired. */
+  readonly retire: (target: Voter, lot: string) => Effect.Effect<void, Fault>;
   readonly shelve: (target: Voter, checkpoints: ReadonlyArray<Checkpoint>) => Effect.Effect<void, Fault>;
   readonly keysOf: (target: Voter, prefix: string, settled?: boolean) => Effect.Effect<ReadonlyArray<string>, Fault>;
 };
 
+const members = <A>(heard: ReadonlyArray<{ readonly member: A }>): ReadonlyArray<A> =>
+  heard.map(({ member }) => member);
+
 const shardOf = (key: string): string =>
   key.includes('|') ? key.split('|')[1]!.split('/')[0]! : (key.split('/')[1] ?? key);
 
@@ -82,6 +93,7 @@
       const value = read(answer);
       if (value !== undefined) return value;
       const bounce = answer.kind.case === 'bounce' ? answer.kind.value : undefined;
+      if (bounce?.step === 'lacking') return yield* new Fault({ ...bounce, step: 'lacking', cohortMember: store.name });
       return yield* new Fault({
         step: bounce && bounce.token > 0 ? `fence ${bounce.token}` : 'store',
         cohortMember: store.name,
@@ -140,33 +152,22 @@
     decide: (key, value) =>
       Effect.flatMap(proposing(key), (how) => Effect.map(paxos.decide({ ...how, value }), (decision) => decision!)),
     read: (key) => Effect.flatMap(proposing(key), (how) => Effect.map(paxos.read(how), (decision) => decision?.value)),
-    put: (shard, duty, checkpoints) =>
+    put: (shard, duty, checkpoints, whole) =>
       Effect.gen(function* () {
         const group = yield* electorate(shard);
+        const sent = (store: Voter, all: ReadonlyArray<Checkpoint>) => {
+          const value = { target: target(store), duty, checkpoints: [...all] };
+          return asked(store, answers.ask({ case: 'putCheckpoint', value }), done);
+        };
         const { answers: heard, faults } = yield* gather(
           paxos.everyone(group),
           (store) =>
-            asked(
-              store,
-              answers.ask({
-                case: 'putCheckpoint',
-                value: { target: target(store), duty, checkpoints: [...checkpoints] },
-              }),
-              done,
-            ),
-          (all) =>
-            paxos.quorum(
-              group,
-              all.map(({ member }) => member),
+            Effect.catchAll(sent(store, checkpoints), (fault) =>
+              fault.step === 'lacking' && whole ? sent(store, whole) : Effect.fail(fault),
             ),
+          (all) => paxos.quorum(group, members(all)),
         );
-        if (
-          !paxos.quorum(
-            group,
-            heard.map(({ member }) => member),
-          )
-        )
-          return yield* worst('checkpoint', faults);
+        if (!paxos.quorum(group, members(heard))) return yield* worst('checkpoint', faults);
       }),
     get: (shard, duty, token, keys) =>
       Effect.gen(function* () {
@@ -179,19 +180,9 @@
               answers.ask({ case: 'getCheckpoint', value: { target: target(store), duty, token, keys: [...keys] } }),
               checkpointsOf,
             ),
-          (all) =>
-            paxos.quorum(
-              group,
-              all.map(({ member }) => member),
-            ),
+          (all) => paxos.quorum(group, members(all)),
         );
-        if (
-          !paxos.quorum(
-            group,
-            heard.map(({ member }) => member),
-          )
-        )
-          return yield* worst('checkpoint', faults);
+        if (!paxos.quorum(group, members(heard))) return yield* worst('checkpoint', faults);
         const best = new Map<string, Checkpoint>();
         for (const each of heard.flatMap(({ answer }) => answer)) {
           const known = best.get(each.key);
@@ -216,6 +207,8 @@
           complete: missing <= Math.floor(Math.min(replicas, basis.length) / 2),
         };
       }),
+    retire: (store, lot) =>
+      Effect.asVoid(asked(store, answers.ask({ case: 'retire', value: { target: target(store), lot } }), done)),
     copies: (store, keys, duty) =>
       asked(
         store,
