--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -30,8 +30,8 @@
 const bodiesMost = 4 * 1024 * 1024;
 
 /**
- * Opens a folder of records. A file whose digest does not fit, or that the index names and that is not there, makes its
- * key abstain until it is learnt anew. `noted` hears of every record that was found or written, `gone` of those removed.
+ * Opens a folder of records. A file whose digest does not fit, or that the index names and that is not there, makes
+ * its key abstain until it is learnt anew. `noted` hears of records found or written, `gone` of those removed.
  */
 export const openRecords = (
   folder: string,
--- a/src/front/onceOnly.ts
+++ b/src/front/onceOnly.ts
@@ -37,8 +37,8 @@
 const decode = <T>(bytes: Uint8Array): T => JSON.parse(Buffer.from(bytes).toString('utf8')) as T;
 
 /**
- * Keys of once-only requests. Each attempt at a key is a write-once claim, made before a byte leaves; its end is written
- * once by the claimant alone. An attempt that ended as not sent lets the next one claim anew.
+ * Keys of once-only requests. Each attempt at a key is a write-once claim, made before a byte leaves; its end is
+ * written once by the claimant alone. An attempt that ended as not sent lets the next one claim anew.
  */
 export const makeOnceOnly = (context: NodeContext) => {
   const { archive, time } = context;
