--- a/src/cli/operatorCommands.ts
+++ b/src/cli/operatorCommands.ts
@@ -1,40 +1,9 @@
 import { readFileSync } from 'node:fs';
-import { request } from 'node:http';
 import { defineCommand } from 'citty';
-
-type Told = { readonly status: number; readonly text: string; readonly bytes: Buffer };
+import { call, type Told } from './call.js';
 
 const exits = { done: 0, bounced: 1, usage: 2, unreachable: 3, unknown: 4 };
 
-const call = (address: string, method: string, path: string, body?: Uint8Array): Promise<Told> =>
-  new Promise((resolve, reject) => {
-    const at = address.lastIndexOf(':');
-    const sent = request(
-      {
-        host: address.slice(0, at),
-        port: Number(address.slice(at + 1)),
-        method,
-        path,
-        headers: { 'content-type': 'application/json', 'content-length': String(body?.length ?? 0) },
-        timeout: 60_000,
-      },
-      (answer) => {
-        const parts: Buffer[] = [];
-        answer
-          .on('data', (part: Buffer) => void parts.push(part))
-          .on('error', reject)
-          .on('end', () => {
-            const bytes = Buffer.concat(parts);
-            resolve({ status: answer.statusCode ?? 0, text: bytes.toString('utf8'), bytes });
-          });
-      },
-    );
-    sent
-      .on('timeout', () => sent.destroy(new Error('no answer in 60 s')))
-      .on('error', reject)
-      .end(body);
-  });
-
 const exitOf = (told: Told): number => {
   if (told.status < 300) return exits.done;
   try {
@@ -167,11 +136,25 @@
           [
             `move ${move['name']} ${move['state']}`,
             `start=${new Date(Number(move['startMs'])).toISOString()}`,
-            fieldsOf(move, ['sequence']),
+            fieldsOf(move, ['steps', 'reason']),
           ].join(' '),
         ),
       ),
   }),
+  cancel: defineCommand({
+    meta: { name: 'cancel', description: 'Cancels a move; --undo also takes a shift back.' },
+    args: {
+      ...common,
+      move: { type: 'positional', description: 'the name of the move', required: true },
+      undo: { type: 'boolean', default: false },
+    },
+    run: async ({ args }) => {
+      const path = `/foxdeck/moves/${encodeURIComponent(args.move)}/cancel${args.undo ? '?undo=1' : ''}`;
+      await run(args, 'POST', path, undefined, (body: { sequence: number }) => [
+        `cancelled as sequence ${body.sequence}`,
+      ]);
+    },
+  }),
   events: defineCommand({
     meta: { name: 'events', description: "Shows the fleet's events about an item, a sampler, a duty or a change." },
     args: { ...common, about: { type: 'string', default: '' }, most: { type: 'string', default: '100' } },
--- a/src/front/controlFace.ts
+++ b/src/front/controlFace.ts
@@ -38,6 +38,14 @@
 const leavingRank = 2 ** 31;
 const leavingMs = 30_000;
 
+const numberOf = (url: URL, name: string, fallback: number): number =>
+  url.searchParams.has(name) ? Number(url.searchParams.get(name)) : fallback;
+const filterOf = (url: URL) => ({
+  about: url.searchParams.get('about') ?? '',
+  from: numberOf(url, 'from', 0),
+  until: numberOf(url, 'until', Number.MAX_SAFE_INTEGER),
+});
+
 /** The operators', samplers' and trainers' control calls; any node takes them. */
 export const makeControlFace = (context: NodeContext) => {
   const { register, news } = context;
@@ -146,7 +154,7 @@
         move,
       };
     });
-    return replies.json(200, { sequence: known.sequence, moves: rows });
+    return rows;
   });
 
   const cancelMove = (path: string, undo: boolean): Effect.Effect<HttpReply, Fault> =>
@@ -194,21 +202,15 @@
             url.searchParams.has('sequence') ? Number(url.searchParams.get('sequence')) : undefined,
           );
         case 'GET moves':
-          return yield* calendar;
+          return replies.json(200, { moves: yield* calendar });
         case 'POST moves':
           return yield* cancelMove(about, url.searchParams.has('undo'));
-        case 'GET events': {
-          const number = (name: string, fallback: number): number =>
-            url.searchParams.has(name) ? Number(url.searchParams.get(name)) : fallback;
-          return replies.json(
-            200,
-            yield* context.events({
-              from: number('from', 0),
-              until: number('until', Number.MAX_SAFE_INTEGER),
-              about: url.searchParams.get('about') ?? '',
-              most: number('most', 200),
-            }),
-          );
+        case 'GET events':
+          return replies.json(200, yield* context.events({ ...filterOf(url), most: numberOf(url, 'most', 200) }));
+        case 'GET tables': {
+          if (about === 'moves') return yield* Effect.map(calendar, (rows) => replies.json(200, { rows, silent: [] }));
+          const table = yield* context.table(about, filterOf(url));
+          return table ? replies.json(200, table) : replies.bounce(404, `no table named ${about}`);
         }
         case 'POST drain':
           yield* context.draining(!url.searchParams.has('undo'));
--- a/src/front/seaterCalls.ts
+++ b/src/front/seaterCalls.ts
@@ -42,6 +42,54 @@
       });
     });
 
+  /** Rows for operators' queries. */
+  const tableOf = (name: 'lots' | 'items' | 'seats'): ReadonlyArray<Record<string, unknown>> => {
+    const { service } = desk;
+    const items = [...state.get().items.values()];
+    const view = seaterState.view(state.get(), samplers(), trainer().step, time.held());
+    if (name === 'seats') {
+      return [...view.samplers.values()].map((sampler) => ({
+        sampler: sampler.name,
+        service,
+        used: seating.usage(view, sampler),
+        budget: sampler.budget,
+        active: seating.activeOn(view, sampler.name).length,
+        version: sampler.version,
+        setAside: seaterState.noteOf(state.get(), sampler.name).setAside,
+      }));
+    }
+    if (name === 'lots') {
+      return [...state.get().lots.values()].map(({ id, lot }) => {
+        const own = items.filter((item) => item.lot === id);
+        const count = (wanted: string): number => own.filter((item) => item.state === wanted).length;
+        const counts = {
+          waiting: count('waiting'),
+          active: count('active'),
+          paused: count('paused'),
+          done: count('done'),
+        };
+        return { lot: id, service, step: lot.step, taskType: lot.taskType, items: own.length, ...counts };
+      });
+    }
+    return items.map((item) => {
+      const decision = explained.get(item.key);
+      const stopped = item.state === 'waiting' || item.state === 'paused';
+      const why = startable(item.lot) ? seating.obstacle(view, item, rules()) : 'its lot is not confirmed to be open';
+      return {
+        item: item.key,
+        lot: item.lot,
+        service,
+        state: item.state,
+        sampler: item.sampler,
+        tokens: item.promptTokens + item.generated,
+        version: item.version,
+        why: stopped ? why : undefined,
+        decision: decision?.kind,
+        cause: decision?.cause,
+      };
+    });
+  };
+
   const handle = (call: string, body: unknown): Effect.Effect<unknown, Fault> =>
     Effect.gen(function* () {
       if (!held()) return yield* new Fault({ step: 'seater', reason: `${duty} is not this node's` });
@@ -101,6 +149,7 @@
         }));
         return {};
       }
+      if (call === 'lots' || call === 'items' || call === 'seats') return tableOf(call);
       if (call === 'state') {
         const view = seaterState.view(state.get(), samplers(), trainer().step, time.held());
         return {
--- a/src/node/leases.ts
+++ b/src/node/leases.ts
@@ -19,6 +19,8 @@
   /** The fencing token of a duty, while it may be done. */
   readonly duty: (name: string) => number | undefined;
   readonly held: () => ReadonlyArray<string>;
+  /** The leases that stand, with the time that is left of each. */
+  readonly standing: () => ReadonlyArray<{ readonly lease: string; readonly token: number; readonly leftMs: number }>;
   readonly renewConfiguration: Effect.Effect<void>;
   /** Asks for a duty, or renews it; answers whether it is held now. */
   readonly acquire: (name: string, atLeast?: number) => Effect.Effect<boolean>;
@@ -160,6 +162,15 @@
     inForce,
     duty: dutyToken,
     held: () => [...duties.get().keys()].filter((name) => dutyToken(name) !== undefined),
+    standing: () => {
+      const now = time.held();
+      const configuration = lease.get();
+      const rows = [
+        { lease: 'configuration', token: configuration.sequence, leftMs: configuration.until - now },
+        ...[...duties.get()].map(([name, each]) => ({ lease: name, token: each.token, leftMs: each.until - now })),
+      ];
+      return rows.filter((row) => row.leftMs > 0).map((row) => ({ ...row, leftMs: Math.round(row.leftMs) }));
+    },
     renewConfiguration,
     acquire: (name, atLeast = 0) =>
       Effect.gen(function* () {
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -22,6 +22,7 @@
 import type { NodeContext } from './nodeContext.js';
 import { makeDuties, type LastSweep } from './duties.js';
 import { openDisk } from './openDisk.js';
+import { makeTables } from './tables.js';
 import { makeUpkeep } from './upkeep.js';
 
 /** A running node. */
@@ -185,6 +186,7 @@
             .slice(-filter.most);
           return { lines, silent: heard.flatMap((each) => (each.lines === undefined ? [each.name] : [])) };
         }),
+      table: (name, filter) => tables.whole(name, filter),
       facts: () => ({
         node: settings.name,
         domain: settings.domain,
@@ -200,6 +202,7 @@
         counts: log.counts(),
       }),
     };
+    const tables = makeTables(context, seaters.get);
     const face = makeFace(context);
 
     const presence = (): Presence => ({
@@ -238,6 +241,10 @@
               answers.answer({ case: 'seater', value: { body: JSON.stringify(body) } }),
             );
           }
+          case 'table':
+            return Effect.map(tables.own(kind.value.name), (rows) =>
+              answers.answer({ case: 'table', value: { rows: JSON.stringify(rows) } }),
+            );
           case 'events':
             return Effect.sync(() => answers.answer({ case: 'events', value: { lines: [...log.recent(kind.value)] } }));
         }
--- a/src/node/nodeContext.ts
+++ b/src/node/nodeContext.ts
@@ -29,6 +29,11 @@
     about: string;
     most: number;
   }) => Effect.Effect<{ readonly lines: ReadonlyArray<string>; readonly silent: ReadonlyArray<string> }>;
+  /** A table of fleet state for operators' queries. */
+  readonly table: (
+    name: string,
+    filter: { readonly about: string; readonly from: number; readonly until: number },
+  ) => Effect.Effect<{ readonly rows: ReadonlyArray<unknown>; readonly silent: ReadonlyArray<string> } | undefined>;
   readonly facts: () => Readonly<Record<string, unknown>>;
   readonly http: Context.Tag.Service<typeof Http>;
   readonly links: Context.Tag.Service<typeof Links>;
--- a/src/shared/log.ts
+++ b/src/shared/log.ts
@@ -9,6 +9,8 @@
   {
     readonly event: (name: string, fields: Fields) => void;
     readonly recent: (filter: { from: number; until: number; about: string; most: number }) => ReadonlyArray<string>;
+    /** The fields of a line, read back. */
+    readonly fields: (line: string) => Readonly<Record<string, string>>;
     readonly count: (name: string, by?: number) => void;
     readonly counts: () => Readonly<Record<string, number>>;
   }
--- a/src/shared/memoryLog.ts
+++ b/src/shared/memoryLog.ts
@@ -33,6 +33,13 @@
         .filter((entry) => entry.at >= from && entry.at <= until && entry.line.includes(about))
         .slice(-most)
         .map((entry) => entry.line),
+    fields: (line) =>
+      Object.fromEntries(
+        [...line.matchAll(/(\w+)=("(?:[^"\\\\]|\\\\.)*"|\S*)/g)].map(([, key, value]) => [
+          key!,
+          value!.startsWith('"') ? (JSON.parse(value!) as string) : value!,
+        ]),
+      ),
     count,
     counts: () => Object.fromEntries(counters),
   };
