--- a/src/sim/faultActs.ts
+++ b/src/sim/faultActs.ts
@@ -103,8 +103,9 @@
     });
   };
   const emptied = (move: boolean): string | undefined => {
-    if (!mayDamage()) return undefined;
-    const machine = pick(of('core', 'store').filter((each) => each.process.alive()));
+    const alive = of('core', 'store').filter((each) => each.process.alive());
+    if (alive.length === 0 || !mayDamage()) return undefined;
+    const machine = pick(alive);
     machine.process.kill();
     machine.disk.wipe();
     if (move) machine.move();
@@ -199,7 +200,8 @@
       return undefined;
     },
     onAcknowledged: () => {
-      const machine = pick(of('core', 'store').filter((each) => each.process.alive()));
+      const alive = of('core', 'store').filter((each) => each.process.alive());
+      const machine = pick(alive.length > 0 ? alive : of('core', 'store'));
       const lostDisk = mayDamage();
       world.after(world.between(0, 3), () => {
         machine.process.kill();
