--- a/src/front/choose.ts
+++ b/src/front/choose.ts
@@ -15,15 +15,17 @@
 
 type Pace = {
   readonly answerMs: number;
+  /** The least that its answers took of late: what it can do when nothing is wrong. */
+  readonly bestMs: number;
   readonly slow: boolean;
   readonly shunUntil: number;
   readonly faults: number;
   readonly triedAt: number;
 };
 
-const fresh: Pace = { answerMs: 0, slow: false, shunUntil: 0, faults: 0, triedAt: 0 };
+const fresh: Pace = { answerMs: 0, bestMs: 0, slow: false, shunUntil: 0, faults: 0, triedAt: 0 };
 /** How often a slow sampler gets a request all the same, to see whether it is steady again. */
-const trialMs = 3000;
+const trialMs = 2000;
 const slowAt = 4;
 const steadyAt = 2;
 const floorMs = 20;
@@ -46,8 +48,8 @@
   const medianOf = (service: string): number => {
     const known = news
       .samplers()
-      .filter((sampler) => sampler.service === service && paceOf(sampler.name).answerMs > 0)
-      .map((sampler) => paceOf(sampler.name).answerMs)
+      .filter((sampler) => sampler.service === service && paceOf(sampler.name).bestMs > 0)
+      .map((sampler) => paceOf(sampler.name).bestMs)
       .sort((left, right) => left - right);
     return Math.max(floorMs, known[Math.floor((known.length - 1) / 2)] ?? 0);
   };
@@ -111,8 +113,10 @@
     /** A sampler began its answer; slow is far over the service's median, and steady again only well below that. */
     answered: (service: string, name: string, ms: number): void => {
       const before = paceOf(name);
-      const answerMs = before.answerMs === 0 ? ms : 0.7 * before.answerMs + 0.3 * ms;
-      paces.swap((now) => new Map(now).set(name, { ...before, answerMs, faults: 0 }));
+      const answerMs =
+        before.answerMs === 0 ? ms : before.slow ? 0.5 * (before.answerMs + ms) : 0.7 * before.answerMs + 0.3 * ms;
+      const bestMs = before.bestMs === 0 ? ms : Math.min(1.002 * before.bestMs, answerMs);
+      paces.swap((now) => new Map(now).set(name, { ...before, answerMs, bestMs, faults: 0 }));
       const share = answerMs / medianOf(service);
       const slow = before.slow ? share > steadyAt : share > slowAt;
       if (slow === before.slow) return;
