Slow model samplers get one item at a time until they are steady again

Cause: the seater gave a slow sampler as much as any other, as long as its budget held; only plain services were paced. Ruled out: a smaller budget for slow ones, which would pause what runs there and have it wait for that very sampler. Test: under a twelvefold slow sampler it starts under a quarter of the other's items, and gets its share back after.

--- a/src/front/seater.ts
+++ b/src/front/seater.ts
@@ -27,7 +27,7 @@
 /** Makes a service's seater under a fencing token. */
 export const makeSeater = (context: NodeContext, service: string, token: number): Seater => {
   const desk = makeDesk(context, service, token);
-  const { book, held, state, texts, explained, faults, rules, trainer, samplers, textOf, startable } = desk;
+  const { book, held, state, texts, explained, faults, paces, rules, trainer, samplers, textOf, startable } = desk;
   const { time, log, register } = context;
   const { flush, complete, giveUp } = makeTexts(desk);
   const lots = makeLots(desk);
@@ -43,6 +43,7 @@
       const text = textOf(key);
       text.stretch += 1;
       const mine = text.stretch;
+      let lastAt: number | undefined;
       if (text.final) return yield* text.fault === undefined ? complete(key) : giveUp(key, text.fault);
       const measure = (): void => {
         if (text.stretch !== mine) return;
@@ -77,6 +78,8 @@
         },
         took: (piece: TextPiece) => {
           if (text.stretch !== mine) return;
+          if (lastAt !== undefined) paces.took(sampler.name, time.held() - lastAt);
+          lastAt = time.held();
           text.pieces.push(piece);
           text.tokens += piece.tokens;
           context.log.count('pieces');
@@ -216,8 +219,7 @@
           seaterState.withItem(before, item.key, { state: 'paused', pausedAt: now, holderVersion: -1 }),
         );
       }
-      const current = state.get();
-      const view = seaterState.view(current, live, trainer().step, now);
+      const view = desk.view(live, now);
       const hidden = new Map(
         [...view.items].map(([key, item]) => [
           key,
--- a/src/front/seaterCalls.ts
+++ b/src/front/seaterCalls.ts
@@ -8,14 +8,14 @@
 
 /** What fronts ask of a seater; `ending` closes a lot at once. */
 export const makeCalls = (desk: Desk, { open }: SeaterLots, ending: (id: string) => Effect.Effect<void>) => {
-  const { context, token, duty, held, state, texts, explained, rules, trainer, samplers, startable } = desk;
+  const { context, token, duty, held, state, texts, explained, rules, samplers, startable } = desk;
   const { time } = context;
 
   const seat = (burden: number, domain: string, timeLeftMs: number): Effect.Effect<unknown, Fault> =>
     Effect.suspend(() => {
       const now = time.held();
       const live = samplers();
-      const view = seaterState.view(state.get(), live, trainer().step, now);
+      const view = desk.view(live, now);
       const fits = [...view.samplers.values()]
         .filter(
           (sampler) => sampler.ready && !sampler.loading && seating.usage(view, sampler) + burden <= sampler.budget,
@@ -27,6 +27,7 @@
         }))
         .sort(
           (left, right) =>
+            Number(left.sampler.most !== undefined) - Number(right.sampler.most !== undefined) ||
             Number(right.announced.domain === domain) - Number(left.announced.domain === domain) ||
             left.share - right.share,
         )[0];
@@ -46,7 +47,7 @@
   const tableOf = (name: 'lots' | 'items' | 'seats'): ReadonlyArray<Record<string, unknown>> => {
     const { service } = desk;
     const items = [...state.get().items.values()];
-    const view = seaterState.view(state.get(), samplers(), trainer().step, time.held());
+    const view = desk.view();
     if (name === 'seats') {
       return [...view.samplers.values()].map((sampler) => ({
         sampler: sampler.name,
@@ -122,7 +123,7 @@
       if (call === 'why') {
         const item = state.get().items.get(given['item']!);
         if (!item) return { known: false };
-        const view = seaterState.view(state.get(), samplers(), trainer().step, time.held());
+        const view = desk.view();
         const text = texts.get(item.key);
         const waits =
           item.state === 'waiting' || item.state === 'paused'
@@ -151,7 +152,7 @@
       }
       if (call === 'lots' || call === 'items' || call === 'seats') return tableOf(call);
       if (call === 'state') {
-        const view = seaterState.view(state.get(), samplers(), trainer().step, time.held());
+        const view = desk.view();
         return {
           token,
           lots: state.get().lots.size,
--- a/src/front/seaterDesk.ts
+++ b/src/front/seaterDesk.ts
@@ -3,6 +3,7 @@
 import type { NodeContext } from '../node/nodeContext.js';
 import { table } from '../shared/table.js';
 import { lotBook } from './lotBook.js';
+import { makePaces } from './seaterPaces.js';
 import { seaterRules } from './seaterRules.js';
 import { seaterState, type GrowingText, type SeaterState } from './seaterState.js';
 
@@ -34,12 +35,16 @@
   const texts = new Map<string, Growing>();
   const explained = new Map<string, Explained>();
   const faults = new Map<string, number>();
+  const paces = makePaces(context);
   let waiters: ReadonlyArray<Deferred.Deferred<void>> = [];
 
   const rules = () => register.known()!.configuration.seating;
   const trainer = () => register.known()?.configuration.weights[service] ?? { version: 0, step: 0 };
   const samplers = (): ReadonlyArray<Announcement> =>
     context.news.samplers().filter((sampler) => sampler.service === service);
+  /** The seating view of the table as it is now. */
+  const view = (live = samplers(), now: number = time.held()) =>
+    seaterState.view(state.get(), live, trainer().step, now, paces.slow);
   const textOf = (key: string): Growing => {
     const known = texts.get(key) ?? {
       pieces: [],
@@ -86,6 +91,8 @@
     texts,
     explained,
     faults,
+    paces,
+    view,
     rules,
     trainer,
     samplers,
--- a/src/front/seaterState.ts
+++ b/src/front/seaterState.ts
@@ -154,7 +154,13 @@
 };
 
 /** The seating view of the table, from the samplers' latest announcements. */
-const view = (state: SeaterState, samplers: ReadonlyArray<Announcement>, trainerStep: number, now: number): Seating => {
+const view = (
+  state: SeaterState,
+  samplers: ReadonlyArray<Announcement>,
+  trainerStep: number,
+  now: number,
+  slow: (sampler: string) => boolean,
+): Seating => {
   const sizes = new Map<string, { finished: number; size: number; probed: number | undefined }>();
   for (const item of state.items.values()) {
     const group = sizes.get(item.group) ?? { finished: 0, size: 0, probed: state.probes.get(item.group) };
@@ -183,6 +189,7 @@
             closing: known.closing,
             interactive: interactiveOn(state, sampler.name, now),
             unexplained: known.unexplained,
+            ...(slow(sampler.name) ? { most: 1 } : {}),
           },
         ];
       }),
--- a/src/front/seating.ts
+++ b/src/front/seating.ts
@@ -39,6 +39,8 @@
   readonly interactive: number;
   /** Tokens that the sampler reports and no known item explains. */
   readonly unexplained: number;
+  /** How many items may be active there, where it is slow. */
+  readonly most?: number;
 };
 
 /** All that seating decides from. */
--- a/src/front/seatingBasics.ts
+++ b/src/front/seatingBasics.ts
@@ -41,6 +41,9 @@
 
 const open = (sampler: SeatedSampler): boolean => sampler.ready && !sampler.loading;
 
+/** Whether an item waits for the holder of its prefix, or of its group's: not for a slow one. */
+const awaited = (sampler: SeatedSampler): boolean => open(sampler) && sampler.most === undefined;
+
 /** What an item would take on admission: its own count, or what its group's probe showed. */
 const expected = (seating: Seating, item: SeatedItem): number =>
   Math.max(footprint(item), seating.groups.get(item.group)?.probed ?? 0);
@@ -85,6 +88,7 @@
   versionFits,
   holds,
   open,
+  awaited,
   expected,
   obstacle,
 };
--- a/src/front/seatingPlan.ts
+++ b/src/front/seatingPlan.ts
@@ -2,7 +2,7 @@
 import type { Decision, SeatedItem, SeatedSampler, Seating } from './seating.js';
 import { seatingBasics } from './seatingBasics.js';
 
-const { footprint, priority, nearlyComplete, lotBudget, versionFits, holds, open } = seatingBasics;
+const { footprint, priority, nearlyComplete, lotBudget, versionFits, holds, open, awaited } = seatingBasics;
 
 /** One sampler as a plan changes it: what is active there, and its sums. */
 type Bench = {
@@ -123,6 +123,8 @@
 const roomOf = (work: Work, { sampler, used }: Bench): number =>
   Math.min(lotBudget(work.rules, sampler) - (used - sampler.interactive), sampler.budget - used);
 
+const full = ({ sampler, active }: Bench): boolean => active.length >= (sampler.most ?? Infinity);
+
 const figuresOf = (work: Work, bench: Bench, item: SeatedItem) => ({
   used: bench.used,
   room: roomOf(work, bench),
@@ -141,12 +143,13 @@
       if (item.retryAt > now || !versionFits(item, sampler)) return false;
       if (sampler.closing && !(item.singleVersion && item.generated > 0)) return false;
       const holder = item.sampler === undefined ? undefined : seating.samplers.get(item.sampler);
-      return holds(item, sampler) || holder === undefined || !open(holder) || !holds(item, holder);
+      return holds(item, sampler) || holder === undefined || !awaited(holder) || !holds(item, holder);
     })
     .map((item) => ({ item, rank: priority(seating, rules, item) }))
     .sort((one, two) => two.rank - one.rank || one.item.step - two.item.step || one.item.order - two.item.order);
   const started = new Set<string>();
   for (const { item } of order) {
+    if (full(bench)) break;
     if (rules.mode !== 'admit-all' && footprint(item) > roomOf(work, bench)) {
       starving ||= now - item.pausedAt > rules.starvationMs;
       continue;
@@ -180,7 +183,7 @@
     const size = expected(work, item);
     if (size > roomOf(work, bench)) return false;
     const home = work.benches.get(work.homes.get(item.group)?.sampler ?? '');
-    if (home === undefined || home === bench || !open(home.sampler) || !versionFits(item, home.sampler)) return true;
+    if (home === undefined || home === bench || !awaited(home.sampler) || !versionFits(item, home.sampler)) return true;
     return lotBudget(rules, home.sampler) - home.used < size;
   };
   const penalty = (taskType: string): number =>
@@ -193,7 +196,7 @@
     items,
   }));
   lanes.sort((left, right) => left.step - right.step);
-  for (;;) {
+  while (!full(bench)) {
     let best: { readonly item: SeatedItem; readonly cost: number } | undefined;
     for (const lane of lanes) {
       if (best && lane.step > best.item.step) break;
--- a/src/tests/overload.test.ts
+++ b/src/tests/overload.test.ts
@@ -71,3 +71,43 @@
   expect(ran.slow.of).toBeLessThan(6);
   expect(ran.steady.of).toBeGreaterThan(ran.slow.of);
 });
+
+test('a model sampler that turned slow is given one item at a time, and its share again once it is steady', () => {
+  const active = { slow: 0, other: 0 };
+  let steady = 0;
+  const day = brokenOnPurpose({
+    seed: 473,
+    workMs: 24_000,
+    crowd: 'nobody',
+    settleMs: 30_000,
+    script: (world, fleet, clients) => {
+      const [slow, other] = offTests.of(fleet, 'sampler').filter((machine) => machine.service === clients.model);
+      world.after(2500, () => void (slow!.standIn!.switches.slowBy = 12));
+      world.after(12_000, () => void (slow!.standIn!.switches.slowBy = 1));
+      for (let number = 0; number < 8; number += 1) {
+        const lot = offTests.lotOf(clients, `paced-${number}`, 6, 6);
+        const hand = Effect.asVoid(offTests.hand(clients, clients.front(), lot));
+        offTests.at(world, fleet, 300 + 2500 * number, hand);
+      }
+      const starts = (sampler: string, from: number): number =>
+        fleet.sights.filter((each) => each.kind === 'start' && each.sampler === sampler && each.at >= from).length;
+      world.after(7000, () => {
+        const from = world.now();
+        world.after(5000, () => {
+          active.slow = starts(slow!.name, from);
+          active.other = starts(other!.name, from);
+        });
+      });
+      world.after(16_000, () => {
+        const from = world.now();
+        world.after(7500, () => void (steady = starts(slow!.name, from)));
+      });
+    },
+  });
+  expect(day.fleet.lines.some((line) => line.includes('event=sampler_slow'))).toBe(true);
+  expect(day.fleet.lines.some((line) => line.includes('event=sampler_steady'))).toBe(true);
+  expect(active.other).toBeGreaterThan(10);
+  expect(active.slow).toBeLessThan(active.other / 4);
+  expect(steady).toBeGreaterThan(active.slow);
+  expect(switchOff.rulesOf(day)).toEqual([]);
+});
