Retention: ended lots and claimed keys may be retired after a time, off by default

Cause: stores kept lots and keys for ever unless someone retired each lot by hand. A retired key keeps its mark, read before each claim, so a late repeat is told "outcome unknown" and does not run; a claim that took over 30 s is not trusted, since the records stay for 60 s after the mark. Ruled out: reading the mark beside the claim, which burns a key when the stores answer only one of the two. Test: lots and keys four hours old are retired, the late repeat is answered 409, the sampler ran once.

--- a/src/front/lotsFace.ts
+++ b/src/front/lotsFace.ts
@@ -167,7 +167,7 @@
 
   const end = (id: string, found: Lot): Effect.Effect<HttpReply, Fault> =>
     Effect.gen(function* () {
-      const chosen = yield* book.once(lot.keys.end(id), { reason: 'ended' });
+      const chosen = yield* book.once(lot.keys.end(id), { reason: 'ended', at: context.time.wall() });
       context.news.tell({
         source: `ended/${id}`,
         incarnation: 1,
--- a/src/front/onceOnly.ts
+++ b/src/front/onceOnly.ts
@@ -22,11 +22,13 @@
   | { readonly state: 'other body' }
   | { readonly state: 'unknown'; readonly why: string };
 
-type Claim = { readonly node: string; readonly attempt: string; readonly ask: string };
+type Claim = { readonly node: string; readonly attempt: string; readonly ask: string; readonly at: number };
 
 /** An answer of up to this many bytes is kept for those who repeat its key. */
 const answerMost = 64 * 1024;
 const attemptsMost = 32;
+/** A key that is retired keeps its claims for a minute longer; a claim that took near that long may be a second one. */
+const claimMostMs = 30_000;
 
 const hashOf = (parts: ReadonlyArray<string | Uint8Array>): string => {
   const hash = createHash('sha256');
@@ -48,9 +50,19 @@
   const claim = (key: string, ask: HttpAsk): Effect.Effect<Claimed, Fault> =>
     Effect.gen(function* () {
       const askDigest = hashOf([ask.method, ask.path, ask.body]);
+      const startedAt = time.held();
+      const retired = yield* archive.read(`retired/${hashOf([key])}`);
+      if (retired) return { state: 'unknown', why: 'its key was used long ago and has been retired' } as const;
       for (let attempt = 0; attempt < attemptsMost; attempt += 1) {
-        const own: Claim = { node: context.settings.name, attempt: time.identity(), ask: askDigest };
+        const own: Claim = {
+          node: context.settings.name,
+          attempt: time.identity(),
+          ask: askDigest,
+          at: time.wall(),
+        };
         const { value } = yield* archive.decide(claimKey(key, attempt), encode(own));
+        if (time.held() - startedAt > claimMostMs)
+          return { state: 'unknown', why: 'its key took too long to claim' } as const;
         const chosen = decode<Claim>(value);
         if (chosen.attempt === own.attempt) return { state: 'mine', attempt } as const;
         if (chosen.ask !== askDigest) return { state: 'other body' } as const;
--- a/src/front/seaterLots.ts
+++ b/src/front/seaterLots.ts
@@ -110,7 +110,8 @@
               each.lot.ratingService === undefined
                 ? []
                 : items.filter((item) => !rated.has(item.key) && state.get().finished.get(item.key) === 'complete');
-            if (unrated.length === 0 && held()) yield* book.once(lot.keys.end(each.id), { reason: 'complete' });
+            if (unrated.length === 0 && held())
+              yield* book.once(lot.keys.end(each.id), { reason: 'complete', at: time.wall() });
           }).pipe(Effect.ignore),
         { concurrency: 8, discard: true },
       ),
--- a/src/node/duties.ts
+++ b/src/node/duties.ts
@@ -4,6 +4,7 @@
 import { rendezvous } from '../shared/rendezvous.js';
 import { table, type Table } from '../shared/table.js';
 import type { NodeContext } from './nodeContext.js';
+import { makeRetention } from './retention.js';
 import { makeSteward } from './steward.js';
 import { sweepStores, type Swept } from './sweep.js';
 
@@ -78,7 +79,17 @@
     const since = retiredAt.swap((before) => (before.has(lot) ? before : new Map(before).set(lot, now))).get(lot)!;
     return now - since > forgetMs;
   };
+  const retain = makeRetention(context);
   const sweeping = (token: number) =>
+    Effect.zipRight(
+      task(
+        'retention',
+        10_000,
+        retain(() => leases.duty('sweep') === token),
+      ),
+      mending(token),
+    );
+  const mending = (token: number) =>
     task(
       'sweep',
       3000,
--- a/src/shared/configuration.ts
+++ b/src/shared/configuration.ts
@@ -31,6 +31,9 @@
   readonly mode: 'ctb' | 'admit-all';
 };
 
+/** How long ended lots and claimed keys are kept; 0 is for ever. */
+export type Retention = { readonly lotsMs: number; readonly keysMs: number };
+
 /** The weights that trainers named last for a service. */
 export type Weights = { readonly version: number; readonly step: number };
 
@@ -40,6 +43,7 @@
   readonly bindings?: Readonly<Record<string, Binding | null>>;
   readonly weights?: Readonly<Record<string, Weights | null>>;
   readonly seating?: Partial<SeatingRules>;
+  readonly retention?: Partial<Retention>;
   readonly stores?: ReadonlyArray<string>;
 };
 
@@ -61,6 +65,7 @@
   readonly bindings: Readonly<Record<string, Binding>>;
   readonly weights: Readonly<Record<string, Weights>>;
   readonly seating: SeatingRules;
+  readonly retention: Retention;
   readonly moves: Readonly<Record<string, Move>>;
   readonly voters: ReadonlyArray<Voter>;
   /** The voters before, at a sequence that changed them: the next one has to wait a full lease. Empty otherwise. */
@@ -95,6 +100,7 @@
     firstTurnPieces: 8,
     mode: 'ctb',
   },
+  retention: { lotsMs: 0, keysMs: 0 },
   moves: {},
   voters,
   formerVoters: [],
@@ -216,6 +222,7 @@
     bindings,
     weights,
     seating: { ...(fresh ? founded([]).seating : before.seating), ...change.seating },
+    retention: { ...(fresh ? founded([]).retention : before.retention), ...change.retention },
     moves: {},
     voters,
     formerVoters: change.voters === undefined ? [] : before.voters,
--- a/src/shared/configurationSchema.ts
+++ b/src/shared/configurationSchema.ts
@@ -54,6 +54,22 @@
   .noUnknown()
   .strict();
 
+/** The longest that a request may have to live; a key that was claimed later than that may still be in use. */
+const leastKeysMs = 3_600_000;
+const retention = yup
+  .object({
+    /** After how long lots that ended are retired; 0 keeps them for ever. */
+    lotsMs: whole(),
+    /** After how long keys of once-only requests are retired; 0 keeps them for ever. */
+    keysMs: whole().test(
+      'least',
+      `\${path} must be 0 or over ${leastKeysMs}, the longest time left of a request`,
+      (value) => value === undefined || value === 0 || value > leastKeysMs,
+    ),
+  })
+  .noUnknown()
+  .strict();
+
 const weights = yup
   .object({ version: whole().min(1).required(), step: whole().required() })
   .noUnknown()
@@ -64,6 +80,7 @@
   bindings: recordOf(binding.nullable()),
   weights: recordOf(weights.nullable()),
   seating,
+  retention: retention.default(undefined),
   stores: yup.array(yup.string().required()).min(1),
 };
 
--- a/src/tests/stores.test.ts
+++ b/src/tests/stores.test.ts
@@ -162,3 +162,39 @@
   expect(records.map((each) => (each as { records: number }).records)).toEqual([1, 1, 1]);
   expect(switchOff.rulesOf(day)).toEqual([]);
 });
+
+test('lots and keys that operators keep for a time only are retired, and a late repeat still never runs twice', () => {
+  const told: Record<string, number> = {};
+  const hours = 3_600_000;
+  const day = brokenOnPurpose({
+    seed: 462,
+    workMs: 20_000,
+    crowd: 'nobody',
+    script: (world, fleet, clients) => {
+      const given = offTests.lotOf(clients, 'kept', 1, 2);
+      const ask = (name: string, method: string, path: string, body?: unknown, headers = {}) =>
+        Effect.map(clients.ask(clients.front(), method, path, body, headers), (answer) => {
+          told[name] = answer.status;
+        });
+      const once = (name: string) => ask(name, 'POST', '/sync/x', {}, { 'idempotency-key': 'old', 'x-ask-id': name });
+      const retention = { lotsMs: 3 * hours, keysMs: 2 * hours };
+      offTests.at(world, fleet, 200, Effect.asVoid(clients.change({ id: 'keep', retention })));
+      offTests.at(world, fleet, 300, ask('handed', 'POST', '/foxdeck/lots', given));
+      offTests.at(world, fleet, 400, once('first'));
+      offTests.at(world, fleet, 5000, once('repeat'));
+      offTests.at(world, fleet, 5000, ask('young', 'GET', `/foxdeck/lots/${lotId(given.key)}`));
+      world.after(6000, () => {
+        for (const machine of offTests.of(fleet, 'front')) {
+          const time = machine.process.time as { wall: () => number };
+          const { wall } = time;
+          time.wall = () => wall() + 4 * hours;
+        }
+      });
+      offTests.at(world, fleet, 19_000, once('late repeat'));
+      offTests.at(world, fleet, 19_000, ask('again', 'POST', '/foxdeck/lots', given));
+    },
+  });
+  expect(told).toEqual({ handed: 201, first: 200, repeat: 200, young: 200, 'late repeat': 409, again: 410 });
+  expect(day.fleet.sights.filter((each) => each.kind === 'ran' && each['path'] === '/sync/x').length).toBe(1);
+  expect(day.fleet.lines.filter((line) => /event=(lot|key)_retired/.test(line)).length).toBe(2);
+});
