--- a/src/cli/query.ts
+++ b/src/cli/query.ts
@@ -25,6 +25,7 @@
   items: ['item', 'state', 'sampler', 'tokens', 'version', 'why', 'decision', 'cause', 'lot', 'service', 'seater'],
   seats: ['sampler', 'service', 'used', 'budget', 'active', 'version', 'setAside', 'seater'],
   moves: ['name', 'state', 'reason', 'startMs', 'latestMs', 'steps', 'at', 'letGo', 'move'],
+  changes: ['sequence', 'change', 'touches'],
   events: [],
 };
 const operators = ['=', '!=', '<', '<=', '>', '>=', '~'];
@@ -141,4 +142,14 @@
 };
 
 /** Queries on fleet state: read, and applied to a table's rows. */
-export const query = { parse, apply, shown, tables };
+export const query = {
+  parse,
+  apply,
+  shown,
+  tables,
+  /** The call that brings a query's rows. */
+  pathOf: ({ table, conditions }: Query): string => {
+    const about = conditions.find((each) => each.operator === '=' && each.column !== 'at')?.value ?? '';
+    return `/foxdeck/tables/${table}${about === '' ? '' : `?about=${encodeURIComponent(about)}`}`;
+  },
+};
--- a/src/cli/shellCommand.ts
+++ b/src/cli/shellCommand.ts
@@ -41,10 +41,8 @@
     complain(`query: ${parsed.error}`);
     return exits.usage;
   }
-  const about = parsed.value.conditions.find((each) => each.operator === '=' && each.column !== 'at')?.value ?? '';
-  const path = `/foxdeck/tables/${parsed.value.table}${about === '' ? '' : `?about=${encodeURIComponent(about)}`}`;
   try {
-    const told = await call(address, 'GET', path);
+    const told = await call(address, 'GET', query.pathOf(parsed.value));
     if (told.status !== 200) {
       complain(told.text.trim());
       return exits.bounced;
--- a/src/front/controlFace.ts
+++ b/src/front/controlFace.ts
@@ -3,7 +3,7 @@
 import type { NodeContext } from '../node/nodeContext.js';
 import type { Announcement } from '../node/news.js';
 import { checked } from '../shared/checked.js';
-import type { Configuration } from '../shared/configuration.js';
+import type { Change, Configuration } from '../shared/configuration.js';
 import type { Fault } from '../shared/fault.js';
 import type { HttpAsk, HttpReply } from '../shared/http.js';
 import { announcement } from './announcement.js';
@@ -38,6 +38,8 @@
 const leavingRank = 2 ** 31;
 const leavingMs = 30_000;
 
+const changesMost = 200;
+
 const numberOf = (url: URL, name: string, fallback: number): number =>
   url.searchParams.has(name) ? Number(url.searchParams.get(name)) : fallback;
 const filterOf = (url: URL) => ({
@@ -157,6 +159,22 @@
     return rows;
   });
 
+  /** The changes that were taken last; they stand with the configuration, whichever nodes died since. */
+  const history = Effect.gen(function* () {
+    const known = yield* register.latest;
+    const first = Math.max(2, known.sequence - changesMost + 1);
+    const found = yield* Effect.forEach(
+      Array.from({ length: Math.max(0, known.sequence - first + 1) }, (_, place) => first + place),
+      (sequence) => Effect.map(register.at(sequence), (value) => ({ sequence, value })),
+      { concurrency: 8 },
+    );
+    return found.flatMap(({ sequence, value }) => {
+      if (!value) return [];
+      const { id: _, expected: __, ...parts } = JSON.parse(Buffer.from(value.change).toString('utf8')) as Change;
+      return [{ sequence, change: value.changeId, touches: Object.keys(parts).join(',') }];
+    });
+  });
+
   const cancelMove = (path: string, undo: boolean): Effect.Effect<HttpReply, Fault> =>
     Effect.gen(function* () {
       const name = path.replace(/\/cancel$/, '');
@@ -209,6 +227,7 @@
           return replies.json(200, yield* context.events({ ...filterOf(url), most: numberOf(url, 'most', 200) }));
         case 'GET tables': {
           if (about === 'moves') return yield* Effect.map(calendar, (rows) => replies.json(200, { rows, silent: [] }));
+          if (about === 'changes') return yield* Effect.map(history, (rows) => replies.json(200, { rows, silent: [] }));
           const table = yield* context.table(about, filterOf(url));
           return table ? replies.json(200, table) : replies.bounce(404, `no table named ${about}`);
         }
--- a/src/node/sweep.ts
+++ b/src/node/sweep.ts
@@ -100,7 +100,7 @@
       if (copies._tag === 'Right') found.push(...copies.right);
     }
     const best = found.sort((one, two) => two.token - one.token || two.count - one.count)[0];
-    if (!best) return true;
+    if (!best) return false;
     const told = yield* Effect.forEach(lacking, (store) => Effect.isSuccess(archive.shelve(store, [best])), {
       concurrency: 4,
     });
--- a/src/store/checkpointFiles.ts
+++ b/src/store/checkpointFiles.ts
@@ -9,7 +9,8 @@
 /** The progress checkpoints of one disk: texts in memory, and on disk what was new, one file for each version. */
 export type CheckpointFiles = {
   readonly get: (key: string) => Checkpoint | undefined;
-  readonly keys: () => Iterable<string>;
+  /** Keys that can be answered for; a damaged one is told again by those that have it. */
+  readonly keys: () => ReadonlyArray<string>;
   readonly size: () => number;
   /** Keys of which a file is damaged; they are not answered for until they are told whole again. */
   readonly lost: () => ReadonlySet<string>;
@@ -83,7 +84,7 @@
       Effect.forEach(files, (file) => Effect.ignore(disk.remove(`${folder}/${file}`)), { discard: true });
     return {
       get: (key) => (lost.has(key) ? undefined : kept.get(key)?.whole),
-      keys: () => kept.keys(),
+      keys: () => [...kept.keys()].filter((key) => !lost.has(key)),
       size: () => kept.size,
       lost: () => lost,
       token: (duty) => tokens.get(duty) ?? 0,
--- a/src/store/shelf.ts
+++ b/src/store/shelf.ts
@@ -1,7 +1,8 @@
 import { Effect, Option, type Context } from 'effect';
 import { acceptor } from '../core/acceptor.js';
 import { openRecords } from '../core/records.js';
-import type { Answer, Ask, Target } from '../gen/foxdeck_pb.js';
+import { create } from '@bufbuild/protobuf';
+import { CheckpointSchema, type Answer, type Ask, type Target } from '../gen/foxdeck_pb.js';
 import { answers } from '../shared/answers.js';
 import type { Configuration } from '../shared/configuration.js';
 import type { Disk } from '../shared/disk.js';
@@ -36,6 +37,19 @@
     const fences = table<ReadonlyMap<string, number>>(new Map());
     const lane = Effect.unsafeMakeSemaphore(1);
 
+    /** Takes away what is left of texts whose lot is over: a file that was removed may be back after a power loss. */
+    const tidy = Effect.suspend(() =>
+      Effect.forEach(
+        [...checkpoints.keys(), ...checkpoints.lost()].filter((key) => {
+          const lot = key.split('|')[1]?.split('/')[0] ?? '';
+          return records.head(`end/${lot}`)?.chosen === true || records.head(`retired/${lot}`)?.chosen === true;
+        }),
+        (key) => checkpoints.put(create(CheckpointSchema, { key, state: 'gone' })),
+        { discard: true },
+      ),
+    );
+    yield* tidy;
+
     const stranger = (target: Target | undefined): string | undefined => {
       if (target?.disk !== options.disk) return 'meant for another disk';
       const stores = options.configuration()?.stores;
@@ -142,10 +156,11 @@
           case 'list':
             return guarded(
               kind.value.target,
-              Effect.sync(() => {
+              Effect.gen(function* () {
                 const { prefix, after, most, settled } = kind.value;
+                if (settled && after === '') yield* lane.withPermits(1)(tidy);
                 const kept = prefix === 'open/' ? index.open().map((id) => prefix + id) : index.keys(prefix, settled);
-                const texts = [...checkpoints.keys()].filter((key) => key.startsWith(prefix));
+                const texts = checkpoints.keys().filter((key) => key.startsWith(prefix));
                 const all = [...kept, ...texts].filter((key) => key > after).sort();
                 return answers.answer({
                   case: 'listing',
--- a/src/tests/shell.test.ts
+++ b/src/tests/shell.test.ts
@@ -68,7 +68,7 @@
       const [front, other] = offTests.of(fleet, 'front');
       world.after(1000, () => other!.process.freeze());
       world.after(3000, () => other!.process.thaw(false));
-      for (const table of ['leases', 'events', 'moves', 'nothing']) {
+      for (const table of ['leases', 'events', 'moves', 'changes', 'nothing']) {
         const read = Effect.map(clients.ask(front!.http, 'GET', `/foxdeck/tables/${table}`), (told) => {
           seen.push({ rows: [], silent: [], ...told.body } as never);
         });
@@ -79,4 +79,5 @@
   expect(seen.filter((each) => each.silent.includes('front2')).length).toBe(2);
   expect(seen.some((each) => each.rows.some((row) => row['event'] === 'duty_won'))).toBe(true);
   expect(seen.some((each) => each.rows.some((row) => row['lease'] === 'configuration'))).toBe(true);
+  expect(seen.some((each) => each.rows.some((row) => row['change'] === 'founding-services'))).toBe(true);
 });
--- a/src/tests/stores.test.ts
+++ b/src/tests/stores.test.ts
@@ -11,6 +11,7 @@
 import { memoryLog } from '../shared/memoryLog.js';
 import { makeWorld } from '../sim/world.js';
 import { simDisk } from '../sim/simDisk.js';
+import { openShelf } from '../store/shelf.js';
 import { openCheckpointFiles } from '../store/checkpointFiles.js';
 import { brokenOnPurpose } from './brokenOnPurpose.js';
 import { offTests } from './offTests.js';
@@ -108,6 +109,27 @@
       { seed: 5, numRuns: 60 },
     );
   });
+  test('that are back after a power loss go again, once their lot is over', () => {
+    const { disk, run } = bench(6);
+    const shelf = openShelf({ disk: 'd', folder: 'checkpoints', configuration: () => undefined, log });
+    const [open, over] = ['seat/a|lot-open/0/0', 'seat/a|lot-over/0/0'];
+    const texts_ = (key: string) => create(CheckpointSchema, { ...checkpoint(4, 0), key });
+    run(
+      Effect.gen(function* () {
+        const records = yield* openRecords('records', log);
+        yield* records.apply('end/lot-over', (record) => acceptor.learn(record, ballot, Buffer.from('{}')));
+        const files = yield* openCheckpointFiles('checkpoints', log);
+        yield* files.put(texts_(open));
+        yield* files.put(texts_(over));
+        yield* files.put(create(CheckpointSchema, { key: over, state: 'gone' }));
+      }),
+    );
+    disk.losePower();
+    const back = run(Effect.map(openCheckpointFiles('checkpoints', log), (files) => files.keys()));
+    expect(back).toEqual([open, over]);
+    const left = run(Effect.map(shelf, (opened) => opened.size()));
+    expect(left).toMatchObject({ checkpoints: 1, damaged: 0 });
+  });
   test('of a store that lacks the beginning are bounced, so that it is told whole', () => {
     const { run } = bench(3);
     const fault = run(Effect.flatMap(openCheckpointFiles('checkpoints', log), (files) => files.put(checkpoint(9, 4))));
