--- a/src/dev/realDay.ts
+++ b/src/dev/realDay.ts
@@ -46,8 +46,19 @@
   const names = fleet.members.filter((member) => member.role !== 'sampler').map((member) => member.name);
   const samplers = fleet.members.filter((member) => member.role === 'sampler').map((member) => member.name);
   const pick = (from: ReadonlyArray<string>): string => from[Math.floor(world.chance() * from.length)]!;
+  const disks = fleet.members.filter((member) => member.role === 'core' || member.role === 'store');
   while (now() < stopAt - 4000) {
     await outside.pause(world.between(500, 2500));
+    // One data folder a day: a second one before the first is refilled would be one too many.
+    if (history.length === 2) {
+      const { name } = disks[Math.floor(world.chance() * disks.length)]!;
+      history.push(`${(now() / 1000).toFixed(1)} data folder removed ${name}`);
+      fleet.signal(name, 'SIGKILL');
+      await fleet.ended(name);
+      fleet.wipe(name);
+      fleet.start(name);
+      continue;
+    }
     const kind = ['kill', 'kill', 'freeze', 'sampler kill', 'sampler leave'][Math.floor(world.chance() * 5)]!;
     const name = pick(kind.startsWith('sampler') ? samplers : names);
     history.push(`${(now() / 1000).toFixed(1)} ${kind} ${name}`);
