--- /dev/null
+++ b/src/edge/channels.ts
@@ -0,0 +1,181 @@
+import { createConnection, createServer, type Server, type Socket } from 'node:net';
+import { create, fromBinary } from '@bufbuild/protobuf';
+import { sizeDelimitedEncode, sizeDelimitedPeek } from '@bufbuild/protobuf/wire';
+import { FrameSchema, type Answer, type Ask, type Frame } from '../gen/foxdeck_pb.js';
+import { answers } from '../shared/answers.js';
+import { Fault } from '../shared/fault.js';
+import { slab, type Slab } from '../shared/slab.js';
+
+type Waiting = { readonly done: (answer: Answer) => void; readonly failed: (fault: Fault) => void };
+type Channel = { readonly socket: Socket; readonly pending: Slab<Waiting>; heardAt: number; unsent: Buffer[] };
+
+/** Answers an ask, now or later, once. */
+export type AskServer = (ask: Ask, reply: (answer: Answer) => void) => void;
+
+/** Channels between the fleet's processes, with plain continuations. */
+export type Channels = {
+  readonly serve: (address: string, server: AskServer) => Promise<Server>;
+  readonly ask: (address: string, ask: Ask, timeLeftMs: number) => Promise<Answer>;
+  /** Calls by name, with JSON bodies; fails with a Fault. */
+  readonly call: (address: string, name: string, body: unknown, timeLeftMs: number) => Promise<unknown>;
+  readonly bytes: () => { readonly sent: number; readonly received: number };
+  readonly close: () => void;
+};
+
+const wire = 1;
+const mostBytes = 64 * 1024 * 1024;
+const connectMs = 1500;
+
+const split = (address: string): { host: string; port: number } => ({
+  host: address.slice(0, address.lastIndexOf(':')),
+  port: Number(address.slice(address.lastIndexOf(':') + 1)),
+});
+
+const splitter = (onFrame: (frame: Frame) => void): ((chunk: Buffer) => void) => {
+  let held: Buffer[] = [];
+  let size = 0;
+  let needed = 0;
+  return (chunk) => {
+    held.push(chunk);
+    size += chunk.length;
+    if (size < needed) return;
+    let all = held.length === 1 ? held[0]! : Buffer.concat(held, size);
+    for (;;) {
+      const peeked = sizeDelimitedPeek(all);
+      if (peeked.eof) {
+        if (all.length > 10) throw new Error('a frame of no readable size');
+        needed = 0;
+        break;
+      }
+      if (peeked.size > mostBytes) throw new Error(`a frame of ${peeked.size} bytes is over the limit`);
+      needed = peeked.offset + peeked.size;
+      if (all.length < needed) break;
+      const frame = fromBinary(FrameSchema, all.subarray(peeked.offset, needed));
+      if (frame.wire !== wire) throw new Error(`a frame of wire version ${frame.wire}, not ${wire}`);
+      all = all.subarray(needed);
+      needed = 0;
+      onFrame(frame);
+    }
+    held = all.length === 0 ? [] : [all];
+    size = all.length;
+  };
+};
+
+/**
+ * Makes a process's channels: one TCP connection to each cohort member that is asked, one answer to each ask. Frames of
+ * one turn leave in one write. A channel on which nothing was heard since an ask that ran out of time is given up.
+ */
+export const makeChannels = (): Channels => {
+  const channels = new Map<string, Channel>();
+  const servers: Server[] = [];
+  const counted = { sent: 0, received: 0 };
+
+  const write = (held: { readonly socket: Socket; unsent: Buffer[] }, frame: Frame): void => {
+    held.unsent.push(Buffer.from(sizeDelimitedEncode(FrameSchema, frame)));
+    if (held.unsent.length > 1) return;
+    setImmediate(() => {
+      const whole = held.unsent.length === 1 ? held.unsent[0]! : Buffer.concat(held.unsent);
+      held.unsent = [];
+      counted.sent += whole.length;
+      if (!held.socket.destroyed) held.socket.write(whole);
+    });
+  };
+
+  const open = (address: string): Channel => {
+    const known = channels.get(address);
+    if (known && !known.socket.destroyed) return known;
+    const socket = createConnection({ ...split(address), noDelay: true, keepAlive: true, keepAliveInitialDelay: 1000 });
+    const channel: Channel = { socket, pending: slab<Waiting>(), heardAt: performance.now(), unsent: [] };
+    channels.set(address, channel);
+    let reason = 'the channel closed';
+    const connecting = setTimeout(() => socket.destroy(new Error('no connection in time')), connectMs);
+    const feed = splitter((frame) => {
+      if (frame.body.case !== 'answer') throw new Error('an ask came where answers are due');
+      channel.pending.take(frame.index, frame.generation)?.done(frame.body.value);
+    });
+    socket.on('connect', () => clearTimeout(connecting));
+    socket.on('data', (chunk: Buffer) => {
+      channel.heardAt = performance.now();
+      counted.received += chunk.length;
+      try {
+        feed(chunk);
+      } catch (cause) {
+        socket.destroy(cause as Error);
+      }
+    });
+    socket.on('error', (cause) => (reason = cause.message));
+    socket.on('end', () => socket.destroy());
+    socket.on('close', () => {
+      clearTimeout(connecting);
+      if (channels.get(address) === channel) channels.delete(address);
+      for (const waiting of channel.pending.drain())
+        waiting.failed(new Fault({ step: 'ask', cohortMember: address, reason, unknown: true }));
+    });
+    return channel;
+  };
+
+  const ask = (address: string, asked: Ask, timeLeftMs: number): Promise<Answer> =>
+    new Promise((resolve, reject) => {
+      const channel = open(address);
+      const start = performance.now();
+      const place = channel.pending.insert({
+        done: (answer) => {
+          clearTimeout(timer);
+          resolve(answer);
+        },
+        failed: (fault) => {
+          clearTimeout(timer);
+          reject(fault);
+        },
+      });
+      const timer = setTimeout(() => {
+        channel.pending.take(place.index, place.generation);
+        const reason = `no answer to ${asked.kind.case} in ${Math.round(timeLeftMs)} ms`;
+        reject(new Fault({ step: 'ask', cohortMember: address, reason, unknown: true }));
+        if (channel.heardAt <= start && timeLeftMs >= 300) channel.socket.destroy();
+      }, timeLeftMs);
+      write(channel, create(FrameSchema, { wire, ...place, body: { case: 'ask', value: asked } }));
+    });
+
+  return {
+    serve: (address, server) =>
+      new Promise((resolve, reject) => {
+        const listening = createServer({ noDelay: true, keepAlive: true, keepAliveInitialDelay: 1000 }, (socket) => {
+          const held = { socket, unsent: [] as Buffer[] };
+          const feed = splitter(({ body, index, generation }) => {
+            if (body.case !== 'ask') throw new Error('an answer came where asks are due');
+            server(body.value, (answer) =>
+              write(held, create(FrameSchema, { wire, index, generation, body: { case: 'answer', value: answer } })),
+            );
+          });
+          socket.on('data', (chunk: Buffer) => {
+            counted.received += chunk.length;
+            try {
+              feed(chunk);
+            } catch (cause) {
+              socket.destroy(cause as Error);
+            }
+          });
+          socket.on('error', () => socket.destroy());
+        });
+        listening.once('error', (cause) =>
+          reject(new Fault({ step: 'listen', reason: `${address}: ${cause.message}` })),
+        );
+        listening.listen(split(address), () => resolve(listening));
+        servers.push(listening);
+      }),
+    ask,
+    call: async (address, name, body, timeLeftMs) => {
+      const asked = answers.ask({ case: 'call', value: { name, body: Buffer.from(JSON.stringify(body ?? null)) } });
+      const { kind } = await ask(address, asked, timeLeftMs);
+      if (kind.case === 'call') return JSON.parse(Buffer.from(kind.value.body).toString()) as unknown;
+      const reason = kind.case === 'bounce' ? kind.value.reason : 'odd answer';
+      throw new Fault({ step: name, cohortMember: address, reason });
+    },
+    bytes: () => ({ ...counted }),
+    close: () => {
+      for (const server of servers) server.close();
+      for (const channel of channels.values()) channel.socket.destroy();
+    },
+  };
+};
--- /dev/null
+++ b/src/fleet/core/coreProgram.ts
@@ -0,0 +1,295 @@
+import { createServer } from 'node:http';
+import { Effect, type Context } from 'effect';
+import { openRecords } from '../../core/records.js';
+import { makeRegister } from '../../core/register.js';
+import { makeVoter } from '../../core/voter.js';
+import { makeVoterIndex } from '../../core/voterIndex.js';
+import { realDisk } from '../../edge/realDisk.js';
+import { realTime } from '../../edge/realTime.js';
+import type { Answer, Ask } from '../../gen/foxdeck_pb.js';
+import { makeLeases } from '../../node/leases.js';
+import type { Presence } from '../../node/news.js';
+import { makeUpkeep } from '../../node/upkeep.js';
+import { answers } from '../../shared/answers.js';
+import { brands } from '../../shared/brands.js';
+import { Disk } from '../../shared/disk.js';
+import type { Links } from '../../shared/links.js';
+import type { Log } from '../../shared/log.js';
+import { rendezvous } from '../../shared/rendezvous.js';
+import { follow } from '../follow.js';
+import type { Followed, FleetSettings, Member, Sampler } from '../fleetTypes.js';
+import type { Program, ProgramTools } from '../program.js';
+import { makeSamplerClient } from '../samplerClient.js';
+import { serveCalls } from '../serveCalls.js';
+import { serveControl } from './serveControl.js';
+import { makeControlDesk } from './controlDesk.js';
+import { makeNewsDesk } from './newsDesk.js';
+import { makeOrders } from './orders.js';
+import { steward } from './steward.js';
+
+const coreLeaseMs = 1000;
+const stewardDuty = 'steward';
+const ordersDuty = 'orders';
+
+const every = (ms: number, work: () => unknown): NodeJS.Timeout => {
+  let running = false;
+  return setInterval(() => {
+    if (running) return;
+    running = true;
+    void Promise.resolve()
+      .then(work)
+      .catch(() => undefined)
+      .finally(() => (running = false));
+  }, ms);
+};
+
+/** Runs a core: the register's votes, what samplers and nodes tell, and the duties that one core does. */
+export const startCore = async (
+  settings: FleetSettings,
+  tools: ProgramTools & { readonly fullLog: Context.Tag.Service<typeof Log> },
+): Promise<Program> => {
+  const { channels, now, wall, log, dialect } = tools;
+  const disk = tools.disk!;
+  const time = realTime();
+  const incarnation = wall();
+  const holder = `${settings.name}#${incarnation}`;
+  let state: Member['state'] = 'starting';
+  const links: Context.Tag.Service<typeof Links> = {
+    serve: () => Effect.void,
+    ask: (address, ask, timeLeft) =>
+      Effect.async((resume) => {
+        channels.ask(address, ask, timeLeft).then(
+          (answer) => resume(Effect.succeed(answer)),
+          (fault) => resume(Effect.fail(fault as never)),
+        );
+      }),
+  };
+  const self = (): Member => ({
+    name: settings.name,
+    role: 'core',
+    zone: settings.zone,
+    peer: settings.peer,
+    disk: disk.id,
+    state,
+    incarnation,
+    sequence: register?.known()?.sequence ?? 0,
+    coreFresh: voter?.fresh() ?? false,
+  });
+  const members = (): ReadonlyArray<Member> => {
+    const all = new Map(follower.view().members);
+    for (const member of desk.members()) {
+      const known = all.get(member.name);
+      if (!known || member.incarnation >= known.incarnation) all.set(member.name, member);
+    }
+    return [...all.values()];
+  };
+  const presences = (): ReadonlyArray<Presence> =>
+    members().map((member) => ({
+      name: member.name,
+      domain: member.zone,
+      roles: [member.role],
+      peer: brands.address(member.peer),
+      http: brands.address(member.peer),
+      state: member.state === 'leaving' ? 'draining' : 'ready',
+      sequence: member.sequence,
+      disk: member.disk,
+      coreFresh: member.coreFresh,
+      duties: [],
+    }));
+  let followedNow: Followed | undefined;
+  const register = makeRegister({
+    name: holder,
+    proposer: holder,
+    leaseMs: coreLeaseMs,
+    links,
+    time,
+    log: tools.fullLog,
+    nodes: presences,
+    learnt: ({ sequence, configuration }) => {
+      const { models, stores, traffic } = configuration;
+      followedNow = { sequence, models: models ?? {}, stores, traffic };
+      log.event('configuration_applied', { sequence, traffic: traffic?.version ?? 0 });
+      desk?.wake();
+    },
+  });
+  const index = makeVoterIndex();
+  const voter = makeVoter({
+    disk: disk.id,
+    index,
+    records: await Effect.runPromise(
+      openRecords('register', tools.fullLog, index.noted).pipe(Effect.provideService(Disk, realDisk(settings.data!))),
+    ),
+    restarted: !disk.fresh,
+    leaseMs: coreLeaseMs,
+    dutyLeaseMs: settings.bounds.leaseMs,
+    time,
+    log: tools.fullLog,
+    learnt: register.learn,
+  });
+  const desk = makeNewsDesk({
+    self,
+    incarnation,
+    beatMs: settings.beatMs,
+    now,
+    wall,
+    followed: () => followedNow,
+  });
+  const chosen = await Effect.runPromise(voter.chosen);
+  if (chosen) register.learn(chosen.value);
+  const follower = follow.make({
+    channels,
+    seeds: settings.seeds.filter((seed) => seed !== settings.peer),
+    self,
+    now,
+  });
+  const leases = makeLeases({
+    name: settings.name,
+    holder,
+    peer: settings.peer,
+    leaseMs: coreLeaseMs,
+    register,
+    links,
+    time,
+    log: tools.fullLog,
+    nodes: presences,
+  });
+
+  const handleAsk = (ask: Ask): Effect.Effect<Answer> => {
+    const byVoter = voter.handle(ask);
+    const answered =
+      byVoter._tag === 'Some'
+        ? byVoter.value
+        : ask.kind.case === 'learn'
+          ? Effect.sync(() => {
+              register.learn((ask.kind.value as { readonly value: Uint8Array }).value);
+              return answers.done();
+            })
+          : Effect.succeed(answers.bounce('ask', `${ask.kind.case} is not answered here`));
+    return Effect.catchAllCause(answered, (cause) =>
+      Effect.succeed(answers.bounce(cause._tag === 'Fail' ? cause.error.step : 'ask', String(cause).slice(0, 200))),
+    );
+  };
+  await serveCalls(
+    channels,
+    settings.peer,
+    (name, body) => {
+      if (name === 'news.follow') return desk.follow(body as never);
+      if (name === 'news.tell') {
+        desk.tell((body as { readonly self: Member }).self);
+        return Promise.resolve({});
+      }
+      return undefined;
+    },
+    log,
+    (ask, reply) => {
+      Effect.runFork(Effect.map(handleAsk(ask), reply));
+    },
+  );
+  const control = makeControlDesk({
+    register,
+    desk,
+    dialect,
+    tolerance: settings.tolerance,
+    stores: () => members().filter((member) => member.role === 'store' && member.state === 'ready'),
+    event: log.event,
+  });
+  await serveControl(settings.listen.control!, createServer, dialect, control);
+  state = 'ready';
+
+  const seedNames = (): ReadonlyArray<Presence> =>
+    presences().filter((node) => node.roles.includes('core') && settings.seeds.includes(node.peer));
+  const upkeep = makeUpkeep({
+    context: {
+      register,
+      links,
+      time,
+      news: { nodes: () => (register.known() ? presences() : seedNames()) },
+      settings: { name: settings.name, foundingCores: settings.seeds.length },
+    },
+    voter,
+    disk,
+    handle: handleAsk,
+  });
+  let ordersSince: { fence: number; at: number } | undefined;
+  const fence = (): number | undefined => {
+    const token = leases.duty(ordersDuty);
+    if (token === undefined) {
+      ordersSince = undefined;
+      return undefined;
+    }
+    if (ordersSince?.fence !== token) ordersSince = { fence: token, at: now() };
+    // The holder before may have sent its last order up to now; nobody takes turns within a lease.
+    return now() - ordersSince.at < settings.bounds.leaseMs + settings.bounds.thawMs ? undefined : token;
+  };
+  const merged = (): ReadonlyArray<Sampler> => {
+    const all = new Map(follower.view().samplers);
+    for (const sampler of desk.samplers()) {
+      const known = all.get(sampler.id);
+      all.set(sampler.id, known ? follow.later(known, sampler) : sampler);
+    }
+    return [...all.values()].filter((sampler) => sampler.state !== 'gone');
+  };
+  const orders = makeOrders({
+    holder: settings.name,
+    fence,
+    samplers: merged,
+    models: () => followedNow?.models ?? {},
+    client: makeSamplerClient(2),
+    dialect,
+    now,
+    changed: desk.setLoads,
+    event: log.event,
+  });
+  const keeper = steward.make({
+    register,
+    channels,
+    members,
+    tolerance: settings.tolerance,
+    held: () => leases.duty(stewardDuty) !== undefined,
+    now,
+    event: log.event,
+  });
+  follower.onChange((before, after) => {
+    for (const sampler of after.samplers.values()) if (before.samplers.get(sampler.id) !== sampler) desk.hear(sampler);
+    const sequence = after.followed?.sequence ?? 0;
+    if (sequence > (register.known()?.sequence ?? 0)) void Effect.runPromise(Effect.ignore(upkeep.follow));
+  });
+
+  const dutyFor = async (name: string): Promise<void> => {
+    const cores = members().filter((member) => member.role === 'core' && member.state === 'ready');
+    const first = rendezvous(
+      name,
+      cores.map((core) => core.name),
+    )[0];
+    const held = leases.duty(name) !== undefined;
+    if (state !== 'ready' || (!held && first !== settings.name)) return;
+    await Effect.runPromise(leases.acquire(name));
+  };
+  const timers = [
+    every(250, () => desk.tick()),
+    every(300, async () => {
+      await Effect.runPromise(leases.renewConfiguration);
+    }),
+    every(700, async () => {
+      await Promise.all([dutyFor(stewardDuty), dutyFor(ordersDuty)]);
+    }),
+    every(300, () => keeper.tick()),
+    every(100, () => orders.tick()),
+    every(400, async () => {
+      if (settings.firstStart && !register.known()) await Effect.runPromise(Effect.ignore(upkeep.founding));
+      await Effect.runPromise(Effect.ignore(upkeep.follow));
+      await Effect.runPromise(Effect.ignore(upkeep.backfill));
+    }),
+  ];
+  log.event('started', { role: 'core', disk: disk.id, sequence: register.known()?.sequence ?? 0 });
+  return {
+    stop: async () => {
+      state = 'leaving';
+      follower.tell();
+      for (const duty of leases.held()) await Effect.runPromise(leases.release(duty)).catch(() => undefined);
+      await new Promise((resolve) => setTimeout(resolve, 500));
+      for (const timer of timers) clearInterval(timer);
+      follower.stop();
+    },
+  };
+};
--- /dev/null
+++ b/src/fleet/core/newsDesk.ts
@@ -0,0 +1,183 @@
+import type { FollowAnswer, FollowAsk } from '../follow.js';
+import { follow } from '../follow.js';
+import type { Followed, Load, Member, Sampler } from '../fleetTypes.js';
+
+/** What a core tells those who follow it: members, samplers, loads and the register, each with a revision. */
+export type NewsDesk = {
+  readonly follow: (ask: FollowAsk) => Promise<FollowAnswer>;
+  readonly tell: (member: Member) => void;
+  readonly members: () => ReadonlyArray<Member>;
+  readonly samplers: () => Iterable<Sampler>;
+  readonly sampler: (id: string) => Sampler | undefined;
+  /** Takes a sampler's own announcement; answers whether anything was new. */
+  readonly announce: (told: Omit<Sampler, 'quiet' | 'born'>) => boolean;
+  /** Takes another core's word. */
+  readonly hear: (told: Sampler) => void;
+  readonly setLoads: (loads: ReadonlyArray<Load>) => void;
+  /** Answers all who wait: the register moved on. */
+  readonly wake: () => void;
+  /** Ends leases that ran out. */
+  readonly tick: () => void;
+};
+
+type Kept = { readonly sampler: Sampler; readonly revision: number; readonly heardAt: number | undefined };
+
+const holdMs = 700;
+const memberMs = 2300;
+const goneKeptMs = 90_000;
+
+/** Makes a core's desk. */
+export const makeNewsDesk = (options: {
+  readonly self: () => Member;
+  readonly incarnation: number;
+  readonly beatMs: number;
+  readonly now: () => number;
+  readonly wall: () => number;
+  readonly followed: () => Followed | undefined;
+}): NewsDesk => {
+  const { now } = options;
+  const members = new Map<string, { member: Member; heardAt: number }>();
+  const samplers = new Map<string, Kept>();
+  let loads: ReadonlyArray<Load> = [];
+  let revision = 1;
+  let [membersAt, loadsAt] = [1, 1];
+  let waiting: Array<() => void> = [];
+
+  let toldOfSelf = '';
+  let waking = false;
+  const wake = (): void => {
+    if (waking) return;
+    waking = true;
+    setImmediate(() => {
+      waking = false;
+      const woken = waiting;
+      waiting = [];
+      for (const each of woken) each();
+    });
+  };
+  const keep = (sampler: Sampler, heardAt: number | undefined, quietly = false): void => {
+    if (!quietly) revision += 1;
+    samplers.set(sampler.id, { sampler, revision: quietly ? samplers.get(sampler.id)!.revision : revision, heardAt });
+    if (!quietly) wake();
+  };
+  const list = (): ReadonlyArray<Member> => [options.self(), ...[...members.values()].map(({ member }) => member)];
+
+  const tell = (member: Member): void => {
+    if (member.name === options.self().name) return;
+    const known = members.get(member.name);
+    if (known && known.member.incarnation > member.incarnation) return;
+    const changed = JSON.stringify(known?.member) !== JSON.stringify(member);
+    members.set(member.name, { member, heardAt: now() });
+    if (!changed) return;
+    revision += 1;
+    membersAt = revision;
+    wake();
+  };
+  const news = (ask: FollowAsk): FollowAnswer | undefined => {
+    const from = ask.incarnation === options.incarnation ? ask.revision : 0;
+    const followed = options.followed();
+    const newer = followed && followed.sequence > ask.sequence ? followed : undefined;
+    if (from >= revision && !newer) return undefined;
+    const changed = [...samplers.values()].filter((kept) => kept.revision > from).map((kept) => kept.sampler);
+    return {
+      core: options.self().name,
+      incarnation: options.incarnation,
+      revision,
+      ...(membersAt > from && { members: list() }),
+      ...(changed.length > 0 && { samplers: changed }),
+      ...(loadsAt > from && { loads }),
+      ...(newer && {
+        followed: {
+          sequence: newer.sequence,
+          models: newer.models,
+          stores: newer.stores,
+          ...(newer.traffic &&
+            newer.traffic.version !== ask.trafficVersion && { traffic: { ...newer.traffic, document: '' } }),
+        },
+      }),
+    };
+  };
+
+  return {
+    tell,
+    follow: (ask) => {
+      tell(ask.self);
+      const at = news(ask);
+      if (at) return Promise.resolve(at);
+      return new Promise((resolve) => {
+        const settle = (): void => {
+          clearTimeout(timer);
+          const idle = { core: options.self().name, incarnation: options.incarnation, revision };
+          resolve(news(ask) ?? idle);
+        };
+        const timer = setTimeout(() => {
+          waiting = waiting.filter((each) => each !== settle);
+          settle();
+        }, holdMs);
+        waiting.push(settle);
+      });
+    },
+    members: list,
+    samplers: function* () {
+      for (const kept of samplers.values()) yield kept.sampler;
+    },
+    sampler: (id) => samplers.get(id)?.sampler,
+    announce: (told) => {
+      const known = samplers.get(told.id);
+      if (known?.sampler.state === 'gone') return false;
+      if (known && told.state !== 'gone' && told.beat <= known.sampler.beat) {
+        keep(known.sampler, now(), true);
+        return false;
+      }
+      const next: Sampler = { ...told, quiet: false, born: known?.sampler.born ?? options.wall() };
+      const { beat: _old, ...before } = known?.sampler ?? { beat: 0 };
+      const { beat: _new, ...after } = next;
+      const changed = JSON.stringify(before) !== JSON.stringify(after);
+      keep(next, now(), !changed);
+      return changed;
+    },
+    hear: (told) => {
+      const known = samplers.get(told.id);
+      if (!known) return keep(told, undefined);
+      const heard = follow.later(known.sampler, told);
+      if (heard === told) {
+        const { beat: _old, ...before } = known.sampler;
+        const { beat: _new, ...after } = told;
+        keep(told, known.heardAt, JSON.stringify(before) === JSON.stringify(after));
+      } else if (told.quiet && !known.sampler.quiet && known.sampler.beat > told.beat)
+        keep(known.sampler, known.heardAt);
+    },
+    setLoads: (next) => {
+      if (JSON.stringify(next) === JSON.stringify(loads)) return;
+      loads = next;
+      revision += 1;
+      loadsAt = revision;
+      wake();
+    },
+    wake,
+    tick: () => {
+      const at = now();
+      const own = JSON.stringify(options.self());
+      let lost = own !== toldOfSelf;
+      toldOfSelf = own;
+      for (const [name, { heardAt }] of members)
+        if (at - heardAt > memberMs) {
+          members.delete(name);
+          lost = true;
+        }
+      if (lost) {
+        revision += 1;
+        membersAt = revision;
+        wake();
+      }
+      for (const [id, kept] of samplers) {
+        const { sampler, heardAt } = kept;
+        if (heardAt === undefined) continue;
+        const silent = at - heardAt;
+        if (sampler.state === 'gone' ? silent > goneKeptMs : silent > goneKeptMs) samplers.delete(id);
+        else if (!sampler.quiet && sampler.state !== 'gone' && silent > options.beatMs * 3.2)
+          keep({ ...sampler, quiet: true }, heardAt);
+      }
+    },
+  };
+};
--- /dev/null
+++ b/src/fleet/follow.ts
@@ -0,0 +1,172 @@
+import type { Channels } from '../edge/channels.js';
+import { table } from '../shared/table.js';
+import type { Followed, Load, Member, Sampler, Traffic } from './fleetTypes.js';
+
+/** What a follower says it knows already. */
+export type FollowAsk = {
+  readonly self: Member;
+  readonly incarnation: number;
+  readonly revision: number;
+  readonly sequence: number;
+  readonly trafficVersion: number;
+};
+
+/** What is newer at a core. */
+export type FollowAnswer = {
+  readonly core: string;
+  readonly incarnation: number;
+  readonly revision: number;
+  readonly members?: ReadonlyArray<Member>;
+  readonly samplers?: ReadonlyArray<Sampler>;
+  readonly loads?: ReadonlyArray<Load>;
+  readonly followed?: Omit<Followed, 'traffic'> & { readonly traffic?: Traffic };
+};
+
+/** The fleet as one process knows it: a snapshot that is swapped whole. */
+export type FleetView = {
+  readonly members: ReadonlyMap<string, Member>;
+  readonly samplers: ReadonlyMap<string, Sampler>;
+  readonly loads: ReadonlyArray<Load>;
+  readonly followed: Followed | undefined;
+};
+
+/** Follows every core it knows of, by long pulls. */
+export type Follower = {
+  readonly view: () => FleetView;
+  /** Tells all cores at once what this node has become. */
+  readonly tell: () => void;
+  /** True once some core has told its tables. */
+  readonly heard: () => boolean;
+  /** Called after each change of the snapshot, with what changed. */
+  readonly onChange: (listener: (before: FleetView, after: FleetView) => void) => void;
+  readonly stop: () => void;
+};
+
+type CoreView = {
+  readonly heardAt: number;
+  readonly incarnation: number;
+  readonly revision: number;
+  readonly members: ReadonlyArray<Member>;
+  readonly samplers: ReadonlyMap<string, Sampler>;
+  readonly loads: ReadonlyArray<Load>;
+};
+
+const pullMs = 2000;
+const staleMs = 2600;
+const pauseMs = 250;
+
+/** Of two words on one sampler the later one: an end is final, otherwise the higher beat, and a doubt at the same beat. */
+const later = (one: Sampler, other: Sampler): Sampler => {
+  if (one.state === 'gone' || other.state === 'gone') return one.state === 'gone' ? one : other;
+  if (one.beat !== other.beat) return one.beat > other.beat ? one : other;
+  return one.quiet ? one : other;
+};
+
+const merge = (views: ReadonlyArray<CoreView>, followed: Followed | undefined): FleetView => {
+  const members = new Map<string, Member>();
+  const samplers = new Map<string, Sampler>();
+  const loads = new Map<string, Load>();
+  for (const view of views) {
+    for (const member of view.members) {
+      const known = members.get(member.name);
+      if (!known || member.incarnation >= known.incarnation) members.set(member.name, member);
+    }
+    for (const sampler of view.samplers.values()) {
+      const known = samplers.get(sampler.id);
+      samplers.set(sampler.id, known ? later(known, sampler) : sampler);
+    }
+    for (const load of view.loads) loads.set(`${load.sampler} ${load.model}`, load);
+  }
+  return { members, samplers, loads: [...loads.values()], followed };
+};
+
+/** The rules by which several cores' words become one. */
+const makeFollower = (options: {
+  readonly channels: Channels;
+  readonly seeds: ReadonlyArray<string>;
+  readonly self: () => Member;
+  readonly now: () => number;
+}): Follower => {
+  const { channels, now } = options;
+  const empty: FleetView = { members: new Map(), samplers: new Map(), loads: [], followed: undefined };
+  const state = table(empty);
+  const cores = new Map<string, CoreView>();
+  const running = new Set<string>();
+  const listeners: Array<(before: FleetView, after: FleetView) => void> = [];
+  let stopped = false;
+
+  const publish = (followed: Followed | undefined): void => {
+    const live = [...cores.values()].filter((view) => now() - view.heardAt < staleMs);
+    const before = state.get();
+    const views = live.length > 0 ? live : [...cores.values()];
+    const after = state.swap(() => merge(views, followed));
+    for (const listener of listeners) listener(before, after);
+    for (const member of after.members.values()) if (member.role === 'core') run(member.peer);
+  };
+  const take = (address: string, heard: FollowAnswer): void => {
+    const known = cores.get(address);
+    const same = known?.incarnation === heard.incarnation ? known : undefined;
+    const samplers = heard.samplers
+      ? new Map([...(same?.samplers ?? []), ...heard.samplers.map((sampler) => [sampler.id, sampler] as const)])
+      : (same?.samplers ?? new Map<string, Sampler>());
+    cores.set(address, {
+      heardAt: now(),
+      incarnation: heard.incarnation,
+      revision: heard.revision,
+      members: heard.members ?? same?.members ?? [],
+      samplers,
+      loads: heard.loads ?? same?.loads ?? [],
+    });
+    const had = state.get().followed;
+    const newer = heard.followed && heard.followed.sequence > (had?.sequence ?? 0) ? heard.followed : undefined;
+    const followed = newer ? { ...newer, traffic: newer.traffic ?? had?.traffic } : had;
+    const revived = known === undefined || now() - known.heardAt > staleMs;
+    if (newer || heard.members || heard.samplers || heard.loads || revived) publish(followed);
+  };
+  const run = (address: string): void => {
+    if (running.has(address) || stopped) return;
+    running.add(address);
+    void (async () => {
+      let faults = 0;
+      while (!stopped) {
+        const known = cores.get(address);
+        const { followed } = state.get();
+        const ask: FollowAsk = {
+          self: options.self(),
+          incarnation: known?.incarnation ?? 0,
+          revision: known?.revision ?? 0,
+          sequence: followed?.sequence ?? 0,
+          trafficVersion: followed?.traffic?.version ?? 0,
+        };
+        try {
+          take(address, (await channels.call(address, 'news.follow', ask, pullMs)) as FollowAnswer);
+          faults = 0;
+        } catch {
+          faults += 1;
+          const listed = [...state.get().members.values()].some((member) => member.peer === address);
+          if (!listed && !options.seeds.includes(address) && faults > 8) break;
+          if (cores.has(address) && now() - cores.get(address)!.heardAt > staleMs) publish(followed);
+          await new Promise((resolve) => setTimeout(resolve, pauseMs * Math.min(4, faults)));
+        }
+      }
+      running.delete(address);
+      cores.delete(address);
+    })();
+  };
+  for (const seed of options.seeds) run(seed);
+  return {
+    view: state.get,
+    heard: () => cores.size > 0,
+    onChange: (listener) => void listeners.push(listener),
+    tell: () => {
+      const body = { self: options.self() };
+      for (const address of cores.keys()) void channels.call(address, 'news.tell', body, 800).catch(() => undefined);
+    },
+    stop: () => {
+      stopped = true;
+    },
+  };
+};
+
+/** Following the cores: what is known of the fleet, and how it is merged. */
+export const follow = { make: makeFollower, later };
--- /dev/null
+++ b/src/fleet/front/attempts.ts
@@ -0,0 +1,159 @@
+import type { Dialect, SamplerCall, SamplerHead } from '../dialect.js';
+import type { Sampler } from '../fleetTypes.js';
+import type { SamplerClient } from '../samplerClient.js';
+import type { SamplerDirectory } from './samplerDirectory.js';
+
+/** How a request with a short answer ended. */
+export type Attempted =
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly raw: ReadonlyArray<string>;
+      readonly head: SamplerHead;
+      readonly body: Buffer;
+    }
+  /** Nothing ran and nothing will. */
+  | { readonly kind: 'notRun'; readonly reason: string }
+  /** It may have run. */
+  | { readonly kind: 'unknown'; readonly reason: string };
+
+/** What a request allows. */
+export type AttemptRules = {
+  readonly attempt: string;
+  readonly service: string;
+  readonly repeatable: boolean;
+  readonly most: number;
+  readonly aimMs: number;
+  readonly timeLeftMs: number;
+  readonly call: (sampler: Sampler, timeLeftMs: number) => SamplerCall;
+  /** False once no more may be sent. */
+  readonly allowed: () => boolean;
+  /** Answers of 5xx are tried elsewhere too; they are the sampler's own word otherwise. */
+  readonly retryFaults: boolean;
+};
+
+const againMs = 25;
+const awayMs = 400;
+const fullMs = 60;
+const hedgeShare = 0.7;
+
+/**
+ * Sends a request to one sampler after another until one gives its whole answer. A repeatable request that takes long is
+ * sent to a second sampler while the first goes on; the first whole answer counts.
+ */
+export const attempts = (
+  tools: {
+    readonly client: SamplerClient;
+    readonly directory: SamplerDirectory;
+    readonly dialect: Dialect;
+    readonly now: () => number;
+  },
+  rules: AttemptRules,
+  done: (outcome: Attempted) => void,
+): { readonly cancel: () => void } => {
+  const { client, directory, dialect, now } = tools;
+  const start = now();
+  const deadline = start + rules.timeLeftMs;
+  const tried = new Set<string>();
+  const open = new Map<number, { readonly abort: () => void }>();
+  let [sends, over, doubtful] = [0, false, false];
+  let last: Attempted | undefined;
+  let hedge: NodeJS.Timeout | undefined;
+  let retry: NodeJS.Timeout | undefined;
+  const left = (): number => deadline - now();
+
+  const finish = (outcome: Attempted): void => {
+    if (over) return;
+    over = true;
+    clearTimeout(hedge);
+    clearTimeout(retry);
+    clearTimeout(timer);
+    done(outcome);
+  };
+  const giveUp = (reason: string): void =>
+    finish(last?.kind === 'answered' ? last : { kind: doubtful ? 'unknown' : 'notRun', reason });
+  const timer = setTimeout(() => {
+    for (const call of open.values()) call.abort();
+    if (open.size > 0) doubtful = true;
+    giveUp('out of time');
+  }, rules.timeLeftMs);
+
+  const next = (): void => {
+    if (over || open.size > 0 || retry) return;
+    if (!rules.allowed()) return giveUp('not wanted any more');
+    if (sends >= rules.most) return giveUp('every attempt was used');
+    if (!send()) {
+      if (tried.size > 0 && left() > 3 * againMs) tried.clear();
+      if (left() < 2 * againMs) return giveUp('no sampler took it');
+      retry = setTimeout(() => {
+        retry = undefined;
+        next();
+      }, againMs);
+    }
+  };
+  const send = (): boolean => {
+    const sampler = directory.choose(rules.service, tried);
+    if (!sampler || !rules.allowed()) return false;
+    tried.add(sampler.id);
+    sends += 1;
+    const place = sends;
+    const began = now();
+    const chunks: Buffer[] = [];
+    let head: SamplerHead | undefined;
+    let status = 0;
+    let raw: ReadonlyArray<string> = [];
+    directory.began(sampler.id);
+    const failed = (reason: string, sent: boolean, away: number): void => {
+      open.delete(place);
+      directory.ended(sampler.id, undefined, away);
+      if (sent) {
+        doubtful = true;
+        if (!rules.repeatable) return giveUp(reason);
+      }
+      next();
+    };
+    const call = client.call(sampler.address, rules.call(sampler, left()), left(), {
+      head: (seen, message) => {
+        status = seen;
+        raw = message.rawHeaders;
+        head = dialect.samplerHead(message.headers);
+        // An answer to something else: its connection is out of step and goes.
+        if (head.attempt !== rules.attempt) {
+          open.get(place)?.abort();
+          failed('an answer of another request', true, 0);
+        }
+      },
+      data: (chunk) => void chunks.push(chunk as Buffer),
+      ended: () => {
+        if (head!.notRun) {
+          sends -= 1;
+          return failed(`turned away with ${status}`, false, status === 421 ? awayMs : fullMs);
+        }
+        open.delete(place);
+        const fine = status < 300 && head!.stamp !== '';
+        directory.ended(sampler.id, status < 500 ? now() - began : undefined, status < 500 ? 0 : 50);
+        const answer: Attempted = { kind: 'answered', status, raw, head: head!, body: Buffer.concat(chunks) };
+        if (fine || (status >= 300 && status < 500) || !rules.repeatable || !rules.retryFaults) return finish(answer);
+        last = answer;
+        next();
+      },
+      failed: (reason, sent) => failed(reason, sent, awayMs),
+    });
+    open.set(place, call);
+    if (rules.repeatable && sends < rules.most && hedge === undefined) {
+      const after = Math.max(rules.aimMs * hedgeShare, 0);
+      if (after < left())
+        hedge = setTimeout(() => {
+          if (!over && open.size === 1) send();
+        }, after);
+    }
+    return true;
+  };
+  next();
+  return {
+    cancel: () => {
+      for (const call of open.values()) call.abort();
+      finish({ kind: 'unknown', reason: 'cancelled' });
+    },
+  };
+};
--- /dev/null
+++ b/src/fleet/front/desks.ts
@@ -0,0 +1,398 @@
+import type { Channels } from '../../edge/channels.js';
+import { rendezvous } from '../../shared/rendezvous.js';
+import type { Dialect } from '../dialect.js';
+import type { Advert, Grant, LotResult, Member, Partial, Sampler } from '../fleetTypes.js';
+import type { FleetView } from '../follow.js';
+import type { SamplerClient } from '../samplerClient.js';
+import type { ItemWord, WatchAnswer } from '../store/storeDesk.js';
+import { traffic } from '../traffic.js';
+import { attempts } from './attempts.js';
+import { runItem, type ItemRun, type RunEnd } from './itemRun.js';
+import type { SamplerDirectory } from './samplerDirectory.js';
+import type { StoreCalls } from './storeCalls.js';
+import { makeWords } from './words.js';
+
+/** The desks of one front: for each sampler that it owns, which items run there. */
+export type Desks = {
+  /** Takes no more items; those that run end, or go back with what there is of their text. */
+  readonly leave: (mostMs: number) => Promise<void>;
+  readonly counts: () => { readonly owned: number; readonly running: number; readonly rating: number };
+};
+
+type Running = {
+  readonly grant: Grant;
+  readonly sampler: Sampler;
+  run: ItemRun | undefined;
+  cancel: (() => void) | undefined;
+};
+type Desk = {
+  sampler: Sampler;
+  readonly running: Set<string>;
+  pulling: number;
+  blockedUntil: number;
+  readonly modelBlocked: Map<string, number>;
+  readonly learnt: Map<string, number>;
+};
+type Known = { readonly advert: Advert; readonly store: string; readonly at: number; needed: number; spare: number };
+
+const watchMs = 2500;
+const fillMs = 4;
+const suspectMs = 900;
+const turnedAwayMs = 60;
+const ratingMs = 4000;
+
+/** Makes a front's desks. */
+export const makeDesks = (options: {
+  readonly name: string;
+  readonly channels: Channels;
+  readonly client: SamplerClient;
+  readonly directory: SamplerDirectory;
+  readonly stores: StoreCalls;
+  readonly dialect: Dialect;
+  readonly view: () => FleetView;
+  readonly now: () => number;
+  readonly chance: () => number;
+  readonly event: (name: string, fields: Record<string, string | number>) => void;
+}): Desks & { readonly changed: () => void } => {
+  const { now, view, dialect, directory, channels } = options;
+  const desks = new Map<string, Desk>();
+  const items = new Map<string, Running>();
+  const known = new Map<string, Known>();
+  const watching = new Set<string>();
+  let leaving = false;
+  let rating = 0;
+  const keyOf = (lot: string, id: string): string => `${lot} ${id}`;
+
+  const stopRun = (entry: Running): Partial | undefined => {
+    if (!entry.run) return undefined;
+    directory.ended(entry.sampler.id, undefined, 0);
+    const partial = entry.run.stop();
+    entry.run = undefined;
+    return partial;
+  };
+  const drop = (lot: string): void => {
+    known.delete(lot);
+    for (const [key, entry] of items)
+      if (entry.grant.lot === lot) {
+        stopRun(entry);
+        entry.cancel?.();
+        release(key);
+      }
+  };
+  const release = (key: string): void => {
+    const entry = items.get(key);
+    if (!entry) return;
+    items.delete(key);
+    desks.get(entry.sampler.id)?.running.delete(key);
+    schedule();
+  };
+  const words = makeWords({ channels, stores: options.stores, view, name: options.name, now, dropped: drop });
+  const say = (key: string, word: ItemWord): void => {
+    release(key);
+    words.say(word);
+  };
+
+  const versionAt = (desk: Desk, model: string): number => {
+    const loads = view().loads.filter((load) => load.sampler === desk.sampler.id && load.model === model && load.done);
+    return Math.max(desk.sampler.models[model] ?? 0, desk.learnt.get(model) ?? 0, ...loads.map((load) => load.version));
+  };
+  const loading = (desk: Desk, model: string): number | undefined => {
+    const load = view().loads.find((each) => each.sampler === desk.sampler.id && each.model === model && !each.done);
+    return load && load.version > versionAt(desk, model) ? load.version : undefined;
+  };
+  const leased = (entry: Known | undefined): boolean => entry !== undefined && now() < entry.at + entry.advert.leaseMs;
+
+  const rate = (key: string, entry: Running, text: string, versions: ReadonlyArray<number>): void => {
+    const { grant } = entry;
+    const asked = grant.item.rating;
+    const finish = (result: LotResult): void => say(key, { lot: grant.lot, id: grant.item.id, result });
+    const whole: Omit<LotResult, 'rating'> = { id: grant.item.id, state: 'completed', text, versions };
+    if (!asked) return finish({ ...whole, rating: '' });
+    rating += 1;
+    let faults = 0;
+    const over = (act: () => void): void => {
+      rating -= 1;
+      act();
+    };
+    const again = (): void => {
+      if (!items.has(key)) return over(() => undefined);
+      const binding = traffic.match(view().followed?.traffic, asked.host, asked.path);
+      const wait = (): void => {
+        const timer = setTimeout(again, 80);
+        entry.cancel = () => {
+          clearTimeout(timer);
+          over(() => undefined);
+        };
+      };
+      if (!binding || !leased(known.get(grant.lot))) return wait();
+      const work = attempts(
+        options,
+        {
+          attempt: asked.id,
+          service: traffic.serviceFor(binding, options.chance()),
+          repeatable: true,
+          most: 2,
+          aimMs: binding.aimMs,
+          timeLeftMs: Math.min(ratingMs, binding.timeLeftMs),
+          call: (sampler, left) => dialect.ratingCall(grant.item, sampler, left),
+          allowed: () => items.has(key) && leased(known.get(grant.lot)),
+          retryFaults: false,
+        },
+        (outcome) => {
+          if (!items.has(key)) return over(() => undefined);
+          if (outcome.kind === 'answered' && outcome.status < 300 && outcome.head.stamp !== '')
+            return over(() => finish({ ...whole, rating: outcome.head.stamp }));
+          if (outcome.kind === 'answered' && outcome.status === 500) faults += 1;
+          if (faults >= binding.attempts)
+            return over(() => finish({ ...whole, state: 'abandoned', text: '', versions: [], rating: '' }));
+          wait();
+        },
+      );
+      entry.cancel = () => {
+        work.cancel();
+      };
+    };
+    again();
+  };
+
+  const ended = (key: string, entry: Running, desk: Desk, model: string, began: number, end: RunEnd): void => {
+    const { lot, item } = entry.grant;
+    entry.run = undefined;
+    desk.running.delete(key);
+    schedule();
+    if (end.kind === 'whole') {
+      directory.ended(desk.sampler.id, undefined, 0);
+      return rate(key, entry, end.text, end.versions);
+    }
+    directory.ended(desk.sampler.id, undefined, end.kind === 'cut' && end.suspect ? suspectMs : 0);
+    if (end.kind === 'notRun') {
+      if (end.status === 421) desk.learnt.delete(model);
+      desk.modelBlocked.set(model, now() + turnedAwayMs);
+      return say(key, { lot, id: item.id, ...(entry.grant.partial && { partial: entry.grant.partial }) });
+    }
+    if (end.kind === 'cut')
+      options.event('item_cut', {
+        item: item.id,
+        sampler: desk.sampler.id,
+        reason: end.reason,
+        kept: end.partial?.events.length ?? 0,
+        ms: Math.round(now() - began),
+      });
+    say(key, {
+      lot,
+      id: item.id,
+      ...(end.kind === 'cut' && end.partial && { partial: end.partial }),
+      ...(end.kind === 'fault' && { fault: true }),
+      ...(end.kind === 'never' && { never: true }),
+    });
+  };
+  const start = (grant: Grant & { readonly sampler: string }): void => {
+    const desk = desks.get(grant.sampler);
+    const key = keyOf(grant.lot, grant.item.id);
+    const back: ItemWord = { lot: grant.lot, id: grant.item.id, ...(grant.partial && { partial: grant.partial }) };
+    const advert = known.get(grant.lot);
+    if (items.has(key)) return;
+    if (!desk || leaving || !leased(advert)) return words.say(back);
+    const { followed } = view();
+    const binding = traffic.match(followed?.traffic, grant.host, grant.item.path);
+    const serves = binding?.shares.some((share) => share.weight > 0 && share.service === desk.sampler.service);
+    if (!binding || !serves || desk.sampler.state !== 'ready') return words.say(back);
+    const model = advert!.advert.model;
+    const version = loading(desk, model) ?? versionAt(desk, model);
+    const entry: Running = { grant, sampler: desk.sampler, run: undefined, cancel: undefined };
+    items.set(key, entry);
+    desk.running.add(key);
+    directory.began(desk.sampler.id);
+    const began = now();
+    entry.run = runItem(
+      options,
+      grant,
+      { sampler: desk.sampler, model, version, urgency: 5, stride: 50 },
+      (end) => ended(key, entry, desk, model, began, end),
+      (seen) => {
+        if (seen > (desk.learnt.get(model) ?? 0)) desk.learnt.set(model, seen);
+      },
+    );
+  };
+
+  const fill = (): void => {
+    if (leaving) return;
+    const at = now();
+    const byStore = new Map<
+      string,
+      Array<{ lot: string; sampler: string; version: number; most: number; spare: boolean }>
+    >();
+    const lots = [...known.values()].filter(leased);
+    const urgency = ({ advert, at: heard }: Known): number => {
+      const left = advert.leftMs - (at - heard);
+      return left > 0 ? left : 1e6 - left;
+    };
+    lots.sort((one, other) => urgency(one) - urgency(other));
+    for (const desk of desks.values()) {
+      let free = desk.sampler.slots - desk.running.size - desk.pulling;
+      if (free <= 0 || desk.sampler.state !== 'ready' || at < desk.blockedUntil || !directory.usable(desk.sampler.id))
+        continue;
+      for (const spare of [false, true])
+        for (const entry of lots) {
+          const wanted = spare ? entry.spare : entry.needed;
+          const { advert } = entry;
+          if (free <= 0 || wanted <= 0) continue;
+          const coming = loading(desk, advert.model);
+          const version = coming ?? versionAt(desk, advert.model);
+          if (version < advert.minVersion || at < (desk.modelBlocked.get(advert.model) ?? 0)) continue;
+          const binding = traffic.match(view().followed?.traffic, advert.host, advert.path);
+          if (!binding?.shares.some((share) => share.weight > 0 && share.service === desk.sampler.service)) continue;
+          // While a version is being loaded, one item tells whether it is there.
+          const most = Math.min(free, wanted, coming === undefined ? free : 1);
+          if (coming !== undefined) desk.modelBlocked.set(advert.model, at + turnedAwayMs);
+          if (spare) entry.spare -= most;
+          else entry.needed -= most;
+          free -= most;
+          desk.pulling += most;
+          const asks = byStore.get(entry.store) ?? [];
+          asks.push({ lot: advert.lot, sampler: desk.sampler.id, version, most, spare });
+          byStore.set(entry.store, asks);
+        }
+    }
+    for (const [store, asks] of byStore) void pull(store, asks);
+  };
+  const pull = async (
+    store: string,
+    asks: ReadonlyArray<{ lot: string; sampler: string; version: number; most: number; spare: boolean }>,
+  ): Promise<void> => {
+    const member = view().members.get(store);
+    const over = (): void => {
+      for (const ask of asks) {
+        const desk = desks.get(ask.sampler);
+        if (desk) desk.pulling = Math.max(0, desk.pulling - ask.most);
+      }
+    };
+    if (!member) return over();
+    try {
+      const body = { front: options.name, asks };
+      const heard = (await channels.call(member.peer, 'board.pull', body, 800)) as {
+        readonly grants: ReadonlyArray<Grant & { sampler: string }>;
+        readonly adverts: ReadonlyArray<Advert>;
+      };
+      over();
+      for (const advert of heard.adverts) note(advert, store);
+      for (const grant of heard.grants) start(grant);
+      if (heard.grants.length > 0) schedule();
+    } catch {
+      over();
+    }
+  };
+  let filling: NodeJS.Timeout | undefined;
+  const schedule = (): void => {
+    filling ??= setTimeout(() => {
+      filling = undefined;
+      fill();
+    }, fillMs);
+  };
+
+  const note = (advert: Advert, store: string): void => {
+    known.set(advert.lot, { advert, store, at: now(), needed: advert.needed, spare: advert.spare });
+    options.stores.leads(advert.lot, store);
+  };
+  const watch = async (store: string): Promise<void> => {
+    if (watching.has(store)) return;
+    watching.add(store);
+    let revision = 0;
+    while (!leaving && (desks.size > 0 || items.size > 0)) {
+      const member = view().members.get(store);
+      if (!member) break;
+      try {
+        const holds = [
+          ...[...items.values()].map(({ grant, sampler }) => ({
+            lot: grant.lot,
+            id: grant.item.id,
+            sampler: sampler.id,
+          })),
+          ...words.unsaid().map(({ lot, id }) => ({ lot, id, sampler: '' })),
+        ];
+        const asked = now();
+        const heard = (await channels.call(
+          member.peer,
+          'board.watch',
+          { front: options.name, revision, holds },
+          watchMs,
+        )) as WatchAnswer;
+        revision = heard.revision;
+        const there = new Set(heard.adverts.map((advert) => advert.lot));
+        for (const advert of heard.adverts) note(advert, store);
+        for (const [lot, entry] of known)
+          if (entry.store === store && !there.has(lot) && entry.at < asked) known.delete(lot);
+        for (const lot of heard.ended) drop(lot);
+        schedule();
+      } catch {
+        await new Promise((resolve) => setTimeout(resolve, 200));
+      }
+    }
+    watching.delete(store);
+  };
+
+  const changed = (): void => {
+    const { members, samplers, followed } = view();
+    const fronts = [...members.values()].filter((member) => member.role === 'front' && member.state === 'ready');
+    const ownerOf = (sampler: Sampler): string | undefined => {
+      const near = fronts.filter((front: Member) => front.zone === sampler.zone);
+      return rendezvous(
+        sampler.id,
+        (near.length > 0 ? near : fronts).map((front) => front.name),
+      )[0];
+    };
+    const models = new Set(
+      followed?.traffic?.services.filter((service) => service.model).map((service) => service.name),
+    );
+    for (const sampler of samplers.values()) {
+      const mine = sampler.state === 'ready' && models.has(sampler.service) && ownerOf(sampler) === options.name;
+      const desk = desks.get(sampler.id);
+      if (desk) desk.sampler = sampler;
+      if (mine && !desk && !leaving)
+        desks.set(sampler.id, {
+          sampler,
+          running: new Set(),
+          pulling: 0,
+          blockedUntil: 0,
+          modelBlocked: new Map(),
+          learnt: new Map(),
+        });
+      else if (!mine && desk && sampler.state === 'gone') {
+        for (const key of desk.running) {
+          const entry = items.get(key);
+          const partial = entry && stopRun(entry);
+          if (entry) say(key, { lot: entry.grant.lot, id: entry.grant.item.id, ...(partial && { partial }) });
+        }
+        desks.delete(sampler.id);
+      } else if (!mine && desk && desk.running.size === 0) desks.delete(sampler.id);
+    }
+    for (const [id, desk] of desks) if (!samplers.has(id) && desk.running.size === 0) desks.delete(id);
+    if (desks.size > 0 || items.size > 0)
+      for (const member of members.values()) if (member.role === 'store') void watch(member.name);
+    schedule();
+  };
+  const ticking = setInterval(() => {
+    if (desks.size > 0) schedule();
+  }, 60);
+
+  return {
+    changed,
+    counts: () => ({
+      owned: desks.size,
+      running: [...desks.values()].reduce((sum, d) => sum + d.running.size, 0),
+      rating,
+    }),
+    leave: async (mostMs) => {
+      const until = now() + mostMs;
+      leaving = true;
+      while (items.size > 0 && now() < until) await new Promise((resolve) => setTimeout(resolve, 50));
+      for (const [key, entry] of items) {
+        const partial = stopRun(entry);
+        entry.cancel?.();
+        say(key, { lot: entry.grant.lot, id: entry.grant.item.id, ...(partial && { partial }) });
+      }
+      clearInterval(ticking);
+      await words.flush(800);
+    },
+  };
+};
--- /dev/null
+++ b/src/fleet/front/frontProgram.ts
@@ -0,0 +1,135 @@
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import { follow } from '../follow.js';
+import type { FleetSettings, Member } from '../fleetTypes.js';
+import type { Program, ProgramTools } from '../program.js';
+import { makeSamplerClient } from '../samplerClient.js';
+import { serveCalls } from '../serveCalls.js';
+import { traffic } from '../traffic.js';
+import { makeDesks } from './desks.js';
+import { makeLotAsks } from './lotAsks.js';
+import { ordinaryAsks } from './ordinaryAsks.js';
+import { makeSamplerDirectory } from './samplerDirectory.js';
+import { makeStoreCalls } from './storeCalls.js';
+
+const channelsMost = 24;
+const readyWaitMs = 2300;
+const defaultBodyBytes = 32 * 1024 * 1024;
+
+const split = (address: string): { host: string; port: number } => ({
+  host: address.slice(0, address.lastIndexOf(':')),
+  port: Number(address.slice(address.lastIndexOf(':') + 1)),
+});
+const listening = (server: ReturnType<typeof createServer>, address: string): Promise<void> =>
+  new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(split(address), () => resolve());
+  });
+
+/** Runs a front: it serves callers, and owns the samplers whose items it seats. */
+export const startFront = async (settings: FleetSettings, tools: ProgramTools): Promise<Program> => {
+  const { channels, now, wall, log, dialect } = tools;
+  const incarnation = wall();
+  let leaving = false;
+  let inFlight = 0;
+  const ready = (): boolean => !leaving && follower.heard() && follower.view().followed?.traffic !== undefined;
+  const self = (): Member => ({
+    name: settings.name,
+    role: 'front',
+    zone: settings.zone,
+    peer: settings.peer,
+    disk: '',
+    state: leaving ? 'leaving' : 'ready',
+    incarnation,
+    sequence: 0,
+    coreFresh: false,
+  });
+  const follower = follow.make({ channels, seeds: settings.seeds, self, now });
+  const view = follower.view;
+  const client = makeSamplerClient(channelsMost);
+  const directory = makeSamplerDirectory({ view, zone: settings.zone, now, chance: Math.random });
+  const stores = makeStoreCalls({ channels, view, now });
+  const asks = { client, directory, dialect, now, chance: Math.random };
+  const desks = makeDesks({ ...asks, name: settings.name, channels, stores, view, event: log.event });
+  const lots = makeLotAsks({ stores, dialect, wall, event: log.event });
+
+  const route = (message: IncomingMessage, response: ServerResponse, body: Buffer): void => {
+    const head = dialect.ask(message.headers);
+    const url = message.url ?? '/';
+    const host = String(message.headers.host ?? '');
+    const reply = (work: Promise<Parameters<typeof ordinaryAsks.send>[1]>): void =>
+      void work.then((each) => ordinaryAsks.send(response, each, leaving));
+    const lotCall = dialect.lotCall(message.method ?? '', url, message.headers);
+    if (lotCall) return reply(lots.call(lotCall));
+    const { followed } = view();
+    if (!followed?.traffic)
+      return ordinaryAsks.send(
+        response,
+        dialect.refusal(503, head.attempt, 500, 'no traffic is declared yet'),
+        leaving,
+      );
+    const binding = traffic.match(followed.traffic, host, url.split('?')[0]!);
+    if (!binding)
+      return ordinaryAsks.send(response, dialect.refusal(404, head.attempt, undefined, 'no such route'), leaving);
+    if (binding.kind === 'rollout') return reply(lots.hand(head, host, binding, body));
+    const serve = binding.kind === 'streaming' ? ordinaryAsks.stream : ordinaryAsks.answer;
+    serve(asks, binding, head, message, body, response, () => leaving);
+  };
+  const server = createServer(
+    { noDelay: true, maxHeaderSize: 65_536, keepAliveTimeout: 15_000 },
+    (message, response) => {
+      inFlight += 1;
+      response.on('close', () => (inFlight -= 1));
+      const most = view().followed?.traffic?.limits.bodyBytes ?? defaultBodyBytes;
+      const chunks: Buffer[] = [];
+      let size = 0;
+      message.on('data', (chunk: Buffer) => {
+        size += chunk.length;
+        if (size <= most) chunks.push(chunk);
+        else if (size - chunk.length <= most) {
+          const { attempt } = dialect.ask(message.headers);
+          ordinaryAsks.send(response, dialect.refusal(413, attempt, undefined, `the body is over ${most} bytes`), true);
+        }
+      });
+      message.on('error', () => undefined);
+      message.on('end', () => {
+        if (size <= most) route(message, response, chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+      });
+    },
+  );
+  const readiness = createServer((message, response) => {
+    const status = dialect.ready(message.url ?? '') ? (ready() ? 200 : 503) : 404;
+    response.writeHead(status, { 'content-length': '0' });
+    response.end();
+  });
+  follower.onChange((before, after) => {
+    const limits = after.followed?.traffic?.limits;
+    if (limits && before.followed?.traffic?.limits !== limits) {
+      server.keepAliveTimeout = Math.max(1000, limits.idleMs);
+      server.headersTimeout = Math.max(1000, limits.headerMs);
+    }
+    for (const [id, sampler] of before.samplers)
+      if (sampler.state !== 'gone' && (after.samplers.get(id)?.state ?? 'gone') === 'gone')
+        client.forget(sampler.address);
+    desks.changed();
+  });
+  await serveCalls(channels, settings.peer, () => undefined, log);
+  await listening(readiness, settings.listen.readiness!);
+  await listening(server, settings.listen.front!);
+  log.event('started', { role: 'front' });
+  return {
+    stop: async () => {
+      const begun = now();
+      leaving = true;
+      follower.tell();
+      const items = desks.leave(1500);
+      const most = settings.bounds.graceMs - 1200;
+      await new Promise((resolve) => setTimeout(resolve, readyWaitMs));
+      server.close();
+      server.closeIdleConnections();
+      await items;
+      while (inFlight > 0 && now() - begun < most) await new Promise((resolve) => setTimeout(resolve, 30));
+      follower.stop();
+      log.event('stopped', { inFlight });
+    },
+  };
+};
--- /dev/null
+++ b/src/fleet/front/lotAsks.ts
@@ -0,0 +1,72 @@
+import type { Fault } from '../../shared/fault.js';
+import type { AskHead, Dialect, LotCall, Reply } from '../dialect.js';
+import type { HostBinding, LotResult } from '../fleetTypes.js';
+import type { StoreCalls } from './storeCalls.js';
+
+/** Serves the calls of lots by way of their leaders. */
+export type LotAsks = {
+  readonly hand: (head: AskHead, host: string, binding: HostBinding, body: Uint8Array) => Promise<Reply>;
+  readonly call: (call: LotCall) => Promise<Reply>;
+};
+
+const createMs = 2600;
+const createHopMs = 900;
+const callMs = 1300;
+const callHopMs = 600;
+const retryAfterMs = 500;
+const waitMost = 1000;
+
+/** Makes a front's lot calls. */
+export const makeLotAsks = (options: {
+  readonly stores: StoreCalls;
+  readonly dialect: Dialect;
+  readonly wall: () => number;
+  readonly event: (name: string, fields: Record<string, string | number>) => void;
+}): LotAsks => {
+  const { stores, dialect } = options;
+  return {
+    hand: async (head, host, binding, bytes) => {
+      const body = dialect.lotBody(bytes, host, binding, options.wall());
+      if ('length' in body)
+        return dialect.refusal(400, head.attempt, undefined, `${body[0]?.path}: ${body[0]?.message}`);
+      try {
+        const timeLeft = Math.max(200, Math.min(createMs, head.timeLeftMs - 50));
+        await stores.call(head.attempt, 'lot.create', { body }, timeLeft, createHopMs);
+        options.event('lot_taken', { lot: head.attempt, items: body.items.length, step: body.step, model: body.model });
+        return dialect.refusal(202, head.attempt, undefined, '');
+      } catch (cause) {
+        const fault = cause as Fault;
+        options.event('lot_not_taken', { lot: head.attempt, reason: fault.message, unknown: String(fault.unknown) });
+        // A store may have it: only where none can is it a promise that nothing runs.
+        return fault.unknown === false
+          ? dialect.refusal(503, head.attempt, retryAfterMs, fault.message)
+          : dialect.refusal(504, head.attempt, undefined, fault.message);
+      }
+    },
+    call: async (call) => {
+      const again = (cause: unknown): Reply => dialect.refusal(503, '', retryAfterMs, String(cause));
+      const gone = dialect.refusal(404, '', undefined, 'no such lot');
+      try {
+        if (call.kind === 'read') {
+          const waitMs = Math.min(call.waitMs, waitMost);
+          const ask = { after: call.after, waitMs };
+          const heard = (await stores.call(call.lot, 'lot.read', ask, callMs + waitMs, callHopMs + waitMs)) as
+            { readonly unknown: true } | { readonly total: number; readonly results: ReadonlyArray<LotResult> };
+          return 'unknown' in heard ? gone : dialect.lotRead(heard.total, call.after, heard.results);
+        }
+        if (call.kind === 'item') {
+          const heard = (await stores.call(call.lot, 'lot.item', { id: call.id }, callMs, callHopMs)) as {
+            readonly body?: string;
+          };
+          return heard.body === undefined ? gone : dialect.lotItem(heard.body);
+        }
+        const heard = (await stores.call(call.lot, 'lot.end', {}, callMs + 1000, callHopMs)) as {
+          readonly unknown?: true;
+        };
+        return heard.unknown ? gone : dialect.refusal(200, '', undefined, '');
+      } catch (cause) {
+        return again(cause);
+      }
+    },
+  };
+};
--- /dev/null
+++ b/src/fleet/front/ordinaryAsks.ts
@@ -0,0 +1,158 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { AskHead, Dialect, Reply } from '../dialect.js';
+import type { HostBinding, Sampler } from '../fleetTypes.js';
+import type { SamplerClient } from '../samplerClient.js';
+import { traffic } from '../traffic.js';
+import { attempts } from './attempts.js';
+import type { SamplerDirectory } from './samplerDirectory.js';
+
+/** What the serving of requests needs of its front. */
+export type AskTools = {
+  readonly client: SamplerClient;
+  readonly directory: SamplerDirectory;
+  readonly dialect: Dialect;
+  readonly now: () => number;
+  readonly chance: () => number;
+};
+
+const networkMs = 4;
+const retryAfterMs = 300;
+
+/** Sends a reply, whole, unless the caller is gone. */
+const send = (response: ServerResponse, reply: Reply, leaving: boolean): void => {
+  if (response.destroyed || response.writableEnded) return;
+  const body = Buffer.from(reply.body ?? '');
+  response.writeHead(reply.status, {
+    ...reply.headers,
+    ...(leaving && { connection: 'close' }),
+    'content-length': String(body.length),
+  });
+  response.end(body);
+};
+
+const callOf =
+  (tools: AskTools, message: IncomingMessage, body: Uint8Array, resumeAfter?: number) =>
+  (sampler: Sampler, timeLeftMs: number) => ({
+    method: message.method ?? 'GET',
+    path: message.url ?? '/',
+    headers: {
+      ...tools.dialect.passedOn(message.rawHeaders, sampler, Math.max(1, Math.round(timeLeftMs)), resumeAfter),
+      'content-length': String(body.length),
+    },
+    body,
+  });
+
+/** Serves a request with a short answer: the sampler's whole answer, a promise that it never ran, or doubt. */
+const answer = (
+  tools: AskTools,
+  binding: HostBinding,
+  head: AskHead,
+  message: IncomingMessage,
+  body: Uint8Array,
+  response: ServerResponse,
+  leaving: () => boolean,
+): void => {
+  const timeLeftMs = Math.max(1, Math.min(head.timeLeftMs - networkMs, binding.timeLeftMs));
+  const work = attempts(
+    tools,
+    {
+      attempt: head.attempt,
+      service: traffic.serviceFor(binding, tools.chance()),
+      repeatable: binding.kind === 'idempotent',
+      most: binding.attempts,
+      aimMs: binding.aimMs,
+      timeLeftMs,
+      call: callOf(tools, message, body),
+      allowed: () => !response.destroyed,
+      retryFaults: true,
+    },
+    (outcome) => {
+      if (outcome.kind === 'answered')
+        return send(
+          response,
+          { status: outcome.status, headers: tools.dialect.passedBack(outcome.raw), body: outcome.body },
+          leaving(),
+        );
+      const status = outcome.kind === 'notRun' ? 503 : 504;
+      const again = outcome.kind === 'notRun' ? retryAfterMs : undefined;
+      send(response, tools.dialect.refusal(status, head.attempt, again, outcome.reason), leaving());
+    },
+  );
+  response.on('close', () => {
+    if (!response.writableEnded && binding.kind === 'idempotent') work.cancel();
+  });
+};
+
+/** Passes a stream on as it comes; one that breaks off breaks off here too, never as a clean end. */
+const stream = (
+  tools: AskTools,
+  binding: HostBinding,
+  head: AskHead,
+  message: IncomingMessage,
+  body: Uint8Array,
+  response: ServerResponse,
+  leaving: () => boolean,
+): void => {
+  const { client, directory, dialect, now } = tools;
+  const deadline = now() + Math.max(1, Math.min(head.timeLeftMs - networkMs, binding.timeLeftMs));
+  const tried = new Set<string>();
+  const service = traffic.serviceFor(binding, tools.chance());
+  let doubtful = false;
+  let open: { readonly abort: () => void } | undefined;
+  const refuse = (reason: string): void => {
+    const status = doubtful ? 504 : 503;
+    send(response, dialect.refusal(status, head.attempt, doubtful ? undefined : retryAfterMs, reason), leaving());
+  };
+  const next = (): void => {
+    if (response.destroyed) return;
+    const sampler = tried.size < binding.attempts ? directory.choose(service, tried) : undefined;
+    if (!sampler || now() >= deadline) return refuse('no sampler took it');
+    tried.add(sampler.id);
+    directory.began(sampler.id);
+    const began = now();
+    let passing = false;
+    let notRun = false;
+    const call = callOf(tools, message, body, head.resumeAfter)(sampler, deadline - now());
+    open = client.call(sampler.address, call, deadline - now(), {
+      head: (status, answered) => {
+        const told = dialect.samplerHead(answered.headers);
+        notRun = told.notRun;
+        if (notRun) return;
+        if (told.attempt !== head.attempt) {
+          open?.abort();
+          directory.ended(sampler.id, undefined, 0);
+          doubtful = true;
+          return refuse('an answer of another request');
+        }
+        passing = true;
+        response.writeHead(status, {
+          ...dialect.passedBack(answered.rawHeaders),
+          ...(leaving() && { connection: 'close' }),
+        });
+        response.flushHeaders();
+      },
+      data: (chunk) => {
+        if (passing) response.write(chunk);
+      },
+      ended: () => {
+        directory.ended(sampler.id, notRun ? undefined : now() - began, notRun ? 60 : 0);
+        if (passing) return void response.end();
+        next();
+      },
+      failed: (reason, sent) => {
+        directory.ended(sampler.id, undefined, 400);
+        if (passing) return void response.destroy();
+        if (sent) doubtful = true;
+        if (sent && !binding.resumable) return refuse(reason);
+        next();
+      },
+    });
+  };
+  response.on('close', () => {
+    if (!response.writableEnded) open?.abort();
+  });
+  next();
+};
+
+/** The serving of requests by binding. */
+export const ordinaryAsks = { answer, stream, send };
--- /dev/null
+++ b/src/fleet/front/samplerDirectory.ts
@@ -0,0 +1,95 @@
+import type { FleetView } from '../follow.js';
+import type { Sampler } from '../fleetTypes.js';
+
+/** Which sampler takes a request, by what is announced and by what this front has seen of each. */
+export type SamplerDirectory = {
+  /** The best sampler of a service that was not tried yet. */
+  readonly choose: (service: string, tried: ReadonlySet<string>) => Sampler | undefined;
+  readonly find: (id: string) => Sampler | undefined;
+  readonly of: (service: string) => ReadonlyArray<Sampler>;
+  readonly began: (id: string) => void;
+  /** Notes how a call went: what it took in milliseconds, or that it failed, and for how long to stay away. */
+  readonly ended: (id: string, tookMs: number | undefined, awayMs: number) => void;
+  readonly usable: (id: string) => boolean;
+  readonly latencyMs: (id: string) => number;
+};
+
+type Seen = { out: number; ewmaMs: number; awayUntil: number; okAt: number };
+
+const freshMs = 30;
+const foreignCost = 1.25;
+const quietCost = 4;
+const slowdown = 0.25;
+
+/** Makes a front's directory. */
+export const makeSamplerDirectory = (options: {
+  readonly view: () => FleetView;
+  readonly zone: string;
+  readonly now: () => number;
+  readonly chance: () => number;
+}): SamplerDirectory => {
+  const { now } = options;
+  const seen = new Map<string, Seen>();
+  let byService = new Map<string, Sampler[]>();
+  let builtOn: FleetView | undefined;
+
+  const of = (service: string): ReadonlyArray<Sampler> => {
+    const view = options.view();
+    if (view !== builtOn) {
+      builtOn = view;
+      byService = new Map();
+      const newest = new Map<string, Sampler>();
+      for (const sampler of view.samplers.values()) {
+        if (sampler.state === 'gone') continue;
+        const known = newest.get(sampler.address);
+        if (!known || sampler.born > known.born) newest.set(sampler.address, sampler);
+      }
+      for (const sampler of newest.values())
+        byService.set(sampler.service, [...(byService.get(sampler.service) ?? []), sampler]);
+      for (const id of seen.keys()) if (!view.samplers.has(id)) seen.delete(id);
+    }
+    return byService.get(service) ?? [];
+  };
+  const seenOf = (id: string): Seen => {
+    const known = seen.get(id);
+    if (known) return known;
+    const fresh: Seen = { out: 0, ewmaMs: freshMs, awayUntil: 0, okAt: 0 };
+    seen.set(id, fresh);
+    return fresh;
+  };
+  const cost = (sampler: Sampler): number => {
+    const { out, ewmaMs, awayUntil, okAt } = seenOf(sampler.id);
+    const full = out >= sampler.slots ? 3 : 1;
+    const foreign = sampler.zone === options.zone ? 1 : foreignCost;
+    const quiet = sampler.quiet && now() - okAt > 1500 ? quietCost : 1;
+    const away = now() < awayUntil ? 50 : 1;
+    return (ewmaMs + 5) * (1 + (2 * out) / Math.max(1, sampler.slots)) * full * foreign * quiet * away;
+  };
+  return {
+    of,
+    find: (id) => options.view().samplers.get(id),
+    choose: (service, tried) => {
+      let best: { sampler: Sampler; cost: number } | undefined;
+      for (const sampler of of(service)) {
+        if (sampler.state !== 'ready' || tried.has(sampler.id)) continue;
+        const weighed = cost(sampler) * (1 + 0.05 * options.chance());
+        if (!best || weighed < best.cost) best = { sampler, cost: weighed };
+      }
+      return best?.sampler;
+    },
+    began: (id) => {
+      seenOf(id).out += 1;
+    },
+    ended: (id, tookMs, awayMs) => {
+      const known = seenOf(id);
+      known.out = Math.max(0, known.out - 1);
+      if (tookMs !== undefined) {
+        known.ewmaMs += slowdown * (tookMs - known.ewmaMs);
+        known.okAt = now();
+        known.awayUntil = 0;
+      } else if (awayMs > 0) known.awayUntil = now() + awayMs;
+    },
+    usable: (id) => now() >= seenOf(id).awayUntil,
+    latencyMs: (id) => seenOf(id).ewmaMs,
+  };
+};
--- /dev/null
+++ b/src/fleet/samplerClient.ts
@@ -0,0 +1,117 @@
+import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http';
+import type { SamplerCall } from './dialect.js';
+
+/** What becomes of one call, told as it happens; exactly one of `ended` and `failed` comes last. */
+export type CallEvents = {
+  readonly head: (status: number, message: IncomingMessage) => void;
+  readonly data: (chunk: Buffer | string) => void;
+  readonly ended: () => void;
+  /** `sent` is false only while no byte can have reached the sampler. */
+  readonly failed: (reason: string, sent: boolean) => void;
+};
+
+/** A call under way. */
+export type OpenCall = {
+  /** Breaks it off and gives its connection up; nothing is told any more. */
+  readonly abort: () => void;
+};
+
+/** Calls to samplers over connections that are kept. */
+export type SamplerClient = {
+  readonly call: (address: string, call: SamplerCall, timeLeftMs: number, events: CallEvents) => OpenCall;
+  /** Closes the idle connections to an address that is not used any more. */
+  readonly forget: (address: string) => void;
+  readonly counts: () => { readonly calls: number; readonly connections: number };
+};
+
+const connectMs = 700;
+
+/** Makes a process's client; a connection on which anything was odd is never used again. */
+export const makeSamplerClient = (channelsMost: number): SamplerClient => {
+  const agents = new Map<string, Agent>();
+  let calls = 0;
+  let connections = 0;
+  const agentOf = (address: string): Agent => {
+    const known = agents.get(address);
+    if (known) return known;
+    const agent = new Agent({
+      keepAlive: true,
+      maxSockets: channelsMost,
+      maxFreeSockets: channelsMost,
+      scheduling: 'lifo',
+    });
+    agents.set(address, agent);
+    return agent;
+  };
+  return {
+    call: (address, { method, path, headers, body }, timeLeftMs, events) => {
+      calls += 1;
+      const colon = address.lastIndexOf(':');
+      let over = false;
+      let connected = false;
+      let connecting: NodeJS.Timeout | undefined;
+      const finish = (): boolean => {
+        if (over) return false;
+        over = true;
+        clearTimeout(timer);
+        clearTimeout(connecting);
+        return true;
+      };
+      const sent: ClientRequest = request({
+        host: address.slice(0, colon),
+        port: Number(address.slice(colon + 1)),
+        method,
+        path,
+        headers,
+        agent: agentOf(address),
+        setHost: false,
+      });
+      const fail = (reason: string): void => {
+        if (finish()) events.failed(reason, connected);
+        sent.destroy();
+      };
+      const timer = setTimeout(() => fail('no answer in time'), Math.max(1, timeLeftMs));
+      sent.on('socket', (socket) => {
+        if (!socket.connecting) {
+          connected = true;
+          return;
+        }
+        connections += 1;
+        socket.setNoDelay(true);
+        connecting = setTimeout(() => {
+          if (!connected) fail('no connection in time');
+        }, connectMs);
+        socket.once('connect', () => {
+          connected = true;
+          clearTimeout(connecting);
+        });
+      });
+      sent.on('error', (cause) => fail(cause.message));
+      sent.on('response', (message) => {
+        if (over) return void message.destroy();
+        events.head(message.statusCode ?? 0, message);
+        message.on('data', (chunk: Buffer | string) => {
+          if (!over) events.data(chunk);
+        });
+        message.on('end', () => {
+          if (!message.complete) return fail('the answer was cut short');
+          if (finish()) events.ended();
+        });
+        message.on('error', (cause) => fail(cause.message));
+        message.on('close', () => fail('the answer was cut short'));
+      });
+      sent.end(body);
+      return {
+        abort: () => {
+          finish();
+          sent.destroy();
+        },
+      };
+    },
+    forget: (address) => {
+      agents.get(address)?.destroy();
+      agents.delete(address);
+    },
+    counts: () => ({ calls, connections }),
+  };
+};
--- /dev/null
+++ b/src/fleet/serveCalls.ts
@@ -0,0 +1,32 @@
+import type { Channels } from '../edge/channels.js';
+import type { Answer, Ask } from '../gen/foxdeck_pb.js';
+import { answers } from '../shared/answers.js';
+import type { ProgramTools } from './program.js';
+
+/** Serves calls by name, and what else is asked; a call that fails is answered with its reason. */
+export const serveCalls = (
+  channels: Channels,
+  address: string,
+  handle: (name: string, body: unknown) => Promise<unknown> | undefined,
+  log: ProgramTools['log'],
+  others?: (ask: Ask, reply: (answer: Answer) => void) => void,
+): Promise<unknown> =>
+  channels.serve(address, (ask, reply) => {
+    if (ask.kind.case !== 'call')
+      return others ? others(ask, reply) : reply(answers.bounce('ask', 'not answered here'));
+    const { name, body } = ask.kind.value;
+    const bounced = (cause: unknown): void => {
+      const reason = cause instanceof Error ? cause.message : String(cause);
+      if (!(cause instanceof Error && '_tag' in cause)) log.event('call_failed', { call: name, reason });
+      reply(answers.bounce(name, reason));
+    };
+    try {
+      const work = handle(name, JSON.parse(Buffer.from(body).toString()) as unknown);
+      if (!work) return reply(answers.bounce(name, 'not answered here'));
+      work.then((value) => {
+        reply(answers.answer({ case: 'call', value: { body: Buffer.from(JSON.stringify(value ?? null)) } }));
+      }, bounced);
+    } catch (cause) {
+      bounced(cause);
+    }
+  });
--- /dev/null
+++ b/src/fleet/store/journal.ts
@@ -0,0 +1,138 @@
+import { promises as files, type PathLike } from 'node:fs';
+import { join } from 'node:path';
+import { crc32 } from 'node:zlib';
+import { Fault } from '../../shared/fault.js';
+
+/** An append-only journal of JSON records in segments; what `append` answered for lasts. */
+export type Journal = {
+  /** Answers once the record lasts on disk; the lot names what the segment is kept for. */
+  readonly append: (lot: string, record: object) => Promise<void>;
+  /** Takes away the oldest segments that no lot needs any more. */
+  readonly retire: (needed: (lot: string) => boolean) => Promise<void>;
+  readonly stats: () => { readonly bytes: number; readonly syncs: number; readonly segments: number };
+};
+
+type Segment = { readonly number: number; readonly lots: Set<string>; bytes: number };
+type Handle = Awaited<ReturnType<typeof files.open>>;
+type Entry = {
+  readonly lot: string;
+  readonly bytes: Buffer;
+  readonly done: () => void;
+  readonly failed: (f: Fault) => void;
+};
+
+const segmentMost = 8 * 1024 * 1024;
+const header = 8;
+const nameOf = (number: number): string => `${String(number).padStart(8, '0')}.log`;
+
+const syncFolder = async (folder: PathLike): Promise<void> => {
+  const handle = await files.open(folder, 'r');
+  try {
+    await handle.sync();
+  } finally {
+    await handle.close();
+  }
+};
+
+const frame = (record: object): Buffer => {
+  const body = Buffer.from(JSON.stringify(record));
+  const whole = Buffer.allocUnsafe(header + body.length);
+  whole.writeUInt32LE(body.length, 0);
+  whole.writeUInt32LE(crc32(body), 4);
+  body.copy(whole, header);
+  return whole;
+};
+
+/** Reads records up to the first that is cut short or torn; what comes behind it was never answered for. */
+const replay = (bytes: Buffer, found: (record: unknown) => void): void => {
+  for (let at = 0; at + header <= bytes.length;) {
+    const length = bytes.readUInt32LE(at);
+    const body = bytes.subarray(at + header, at + header + length);
+    if (length === 0 || body.length < length || crc32(body) !== bytes.readUInt32LE(at + 4)) return;
+    found(JSON.parse(body.toString()));
+    at += header + length;
+  }
+};
+
+/**
+ * Opens a folder's journal, telling each record that lasts in order. Records of one turn share one sync. A failed write
+ * ends its segment: the records are answered with a Fault and the next ones go to a new file.
+ */
+export const openJournal = async (
+  folder: string,
+  found: (record: { readonly lot: string }) => void,
+): Promise<Journal> => {
+  await files.mkdir(folder, { recursive: true });
+  await syncFolder(join(folder, '..'));
+  const names = (await files.readdir(folder)).filter((name) => name.endsWith('.log')).sort();
+  const segments: Segment[] = [];
+  for (const name of names) {
+    const segment: Segment = { number: Number(name.slice(0, 8)), lots: new Set(), bytes: 0 };
+    const bytes = await files.readFile(join(folder, name));
+    segment.bytes = bytes.length;
+    replay(bytes, (record) => {
+      const known = record as { readonly lot: string };
+      segment.lots.add(known.lot);
+      found(known);
+    });
+    segments.push(segment);
+  }
+  let handle: Handle | undefined;
+  let queue: Entry[] = [];
+  let running = false;
+  let syncs = 0;
+
+  const current = async (): Promise<{ handle: Handle; segment: Segment }> => {
+    const last = segments.at(-1);
+    if (handle && last && last.bytes < segmentMost) return { handle, segment: last };
+    if (handle) await handle.close().catch(() => undefined);
+    handle = undefined;
+    const segment: Segment = { number: (last?.number ?? 0) + 1, lots: new Set(), bytes: 0 };
+    handle = await files.open(join(folder, nameOf(segment.number)), 'w');
+    await syncFolder(folder);
+    segments.push(segment);
+    return { handle, segment };
+  };
+
+  const run = async (): Promise<void> => {
+    running = true;
+    while (queue.length > 0) {
+      const batch = queue;
+      queue = [];
+      try {
+        const { handle: file, segment } = await current();
+        const whole = batch.length === 1 ? batch[0]!.bytes : Buffer.concat(batch.map((entry) => entry.bytes));
+        for (const entry of batch) segment.lots.add(entry.lot);
+        segment.bytes += whole.length;
+        for (let at = 0; at < whole.length;) at += (await file.write(whole, at)).bytesWritten;
+        await file.datasync();
+        syncs += 1;
+        for (const entry of batch) entry.done();
+      } catch (cause) {
+        const fault = new Fault({ step: 'journal', reason: String(cause), unknown: true });
+        await handle?.close().catch(() => undefined);
+        handle = undefined;
+        for (const entry of batch) entry.failed(fault);
+      }
+    }
+    running = false;
+  };
+
+  return {
+    append: (lot, record) =>
+      new Promise((done, failed) => {
+        queue.push({ lot, bytes: frame(record), done, failed });
+        if (!running) {
+          running = true;
+          setImmediate(() => void run());
+        }
+      }),
+    retire: async (needed) => {
+      while (segments.length > 1 && ![...segments[0]!.lots].some(needed)) {
+        const gone = segments.shift()!;
+        await files.rm(join(folder, nameOf(gone.number)), { force: true });
+      }
+    },
+    stats: () => ({ bytes: segments.reduce((sum, each) => sum + each.bytes, 0), syncs, segments: segments.length }),
+  };
+};
--- /dev/null
+++ b/src/fleet/store/storeProgram.ts
@@ -0,0 +1,94 @@
+import { join } from 'node:path';
+import type { Channels } from '../../edge/channels.js';
+import { serveCalls } from '../serveCalls.js';
+import type { FleetSettings, Member } from '../fleetTypes.js';
+import { follow, type Follower } from '../follow.js';
+import { openJournal, type Journal } from './journal.js';
+import { makeLotLeader, type LotLeader } from './lotLeader.js';
+import { lotReplica, type ReplicaLog, type ReplicaRecord } from './lotReplica.js';
+import { placement } from './placement.js';
+import { makeStoreDesk } from './storeDesk.js';
+import type { Program, ProgramTools } from '../program.js';
+
+const tickMs = 200;
+const confirmMs = 500;
+const retireMs = 3000;
+const leaveMs = 700;
+
+/** Runs a store: copies of lots on its disk, and the leading of those lots that it comes first for. */
+export const startStore = async (settings: FleetSettings, tools: ProgramTools): Promise<Program> => {
+  const { now, wall, log } = tools;
+  const channels: Channels = tools.channels;
+  const disk = tools.disk!;
+  let state: Member['state'] = 'starting';
+  const incarnation = wall();
+  const self = (): Member => ({
+    name: settings.name,
+    role: 'store',
+    zone: settings.zone,
+    peer: settings.peer,
+    disk: disk.id,
+    state,
+    incarnation,
+    sequence: 0,
+    coreFresh: false,
+  });
+  const logs = new Map<string, ReplicaLog>();
+  const started = now();
+  const journal: Journal = await openJournal(join(settings.data!, 'lots'), (record) =>
+    lotReplica.applied(logs, record as ReplicaRecord, started),
+  );
+  const replica = lotReplica.make({ logs, journal, now });
+  let leader: LotLeader | undefined = undefined;
+  const desk = makeStoreDesk({ leader: () => leader!, now, wall, event: log.event });
+  const handle = (name: string, body: unknown): Promise<unknown> | undefined =>
+    name === 'store.unsettled'
+      ? Promise.resolve({ epoch: viewOf().epoch, count: leader!.unsettled(), lots: logs.size })
+      : (leader!.handle(name, body) ?? desk.handle(name, body));
+  const follower: Follower = follow.make({ channels, seeds: settings.seeds, self, now });
+  const viewOf = () => follower.view().followed?.stores ?? { epoch: 0, current: [], previous: [] };
+  leader = makeLotLeader({
+    self: { name: settings.name, disk: disk.id },
+    owner: `${settings.name}#${incarnation}.${Math.floor(Math.random() * 1e6)}`,
+    copies: placement.copies(settings.tolerance),
+    replica,
+    channels,
+    view: viewOf,
+    member: (name) => follower.view().members.get(name),
+    now,
+    leaving: () => state === 'leaving',
+    chosen: desk.chosen,
+    deposed: desk.deposed,
+    event: log.event,
+  });
+  await serveCalls(channels, settings.peer, handle, log);
+  state = 'ready';
+  log.event('started', { role: 'store', disk: disk.id, lots: logs.size, journalBytes: journal.stats().bytes });
+  const timers = [
+    setInterval(() => {
+      leader.tick();
+      desk.tick();
+    }, tickMs),
+    setInterval(() => void leader.confirmAll(), confirmMs),
+    setInterval(() => {
+      for (const [lot, kept] of logs) {
+        const ended = kept.entries.some((entry) => entry.value.kind === 'end');
+        if (!ended || now() - kept.touchedAt < settings.bounds.keepLotsMs * 1.5) continue;
+        const led = leader.get(lot);
+        if (led) leader.stepDown(led, 'kept long enough');
+        replica.drop(lot);
+      }
+      void journal.retire((lot) => logs.has(lot)).catch(() => undefined);
+    }, retireMs),
+  ];
+  return {
+    stop: async () => {
+      state = 'leaving';
+      follower.tell();
+      for (const led of [...leader.led()]) leader.stepDown(led, 'this store is told to stop');
+      await new Promise((resolve) => setTimeout(resolve, leaveMs));
+      for (const timer of timers) clearInterval(timer);
+      follower.stop();
+    },
+  };
+};
--- a/src/node/upkeep.ts
+++ b/src/node/upkeep.ts
@@ -3,11 +3,18 @@
 import type { Answer, Ask } from '../gen/foxdeck_pb.js';
 import { answers } from '../shared/answers.js';
 import type { NodeContext } from './nodeContext.js';
+import type { Presence } from './news.js';
 import type { OpenedDisk } from './openDisk.js';
 
+/** What upkeep needs of a node. */
+export type UpkeepContext = Pick<NodeContext, 'register' | 'links' | 'time'> & {
+  readonly news: { readonly nodes: () => ReadonlyArray<Presence> };
+  readonly settings: { readonly name: string; readonly foundingCores: number };
+};
+
 /** What keeps a node abreast of the register: founding it, following it, and filling a core's gaps. */
 export const makeUpkeep = (options: {
-  readonly context: NodeContext;
+  readonly context: UpkeepContext;
   readonly voter: Voter | undefined;
   readonly disk: OpenedDisk | undefined;
   readonly handle: (ask: Ask) => Effect.Effect<Answer>;
--- a/src/shared/configuration.ts
+++ b/src/shared/configuration.ts
@@ -1,6 +1,8 @@
 import { Result } from 'true-myth';
 import type { Voter } from '../core/paxos.js';
 import type { Reason } from './checked.js';
+import type { Traffic } from '../fleet/fleetTypes.js';
+import { traffic as trafficRules } from '../fleet/traffic.js';
 import { moves, type Move, type MoveProgress } from './moves.js';
 
 /** A kind of back end: model samplers are seated by a seater, plain ones are called by any front. */
@@ -55,6 +57,12 @@
   readonly moves?: Readonly<Record<string, Move | null>>;
   readonly voters?: { readonly add?: string; readonly remove?: string };
   readonly settledEpoch?: number;
+  /** A new declared traffic, on top of a version of it. */
+  readonly traffic?: { readonly basedOn: number; readonly value: Traffic };
+  /** Versions of weights that trainers named, by model. */
+  readonly models?: Readonly<Record<string, number>>;
+  /** A store machine that is to be emptied. */
+  readonly emptied?: string;
   /** Said by the calendar: how far its moves came. */
   readonly moveSteps?: Readonly<Record<string, MoveProgress>>;
 };
@@ -75,6 +83,10 @@
     readonly current: ReadonlyArray<Voter>;
     readonly previous: ReadonlyArray<Voter>;
   };
+  /** Where hosts share one fleet: the traffic that operators declared, the newest weights and emptied stores. */
+  readonly traffic?: Traffic;
+  readonly models?: Readonly<Record<string, number>>;
+  readonly emptied?: ReadonlyArray<string>;
 };
 
 /** Disks of nodes that are present now, by node name. */
@@ -116,6 +128,15 @@
     Object.entries({ ...(fresh ? {} : before), ...change }).filter((entry): entry is [string, T] => entry[1] !== null),
   );
 
+const newest = (
+  before: Readonly<Record<string, number>> | undefined,
+  named: Readonly<Record<string, number>> | undefined,
+): Readonly<Record<string, number>> => {
+  const merged: Record<string, number> = { ...before };
+  for (const [model, version] of Object.entries(named ?? {})) merged[model] = Math.max(version, merged[model] ?? 1);
+  return merged;
+};
+
 const mergeStores = (
   before: Configuration['stores'],
   names: ReadonlyArray<string> | undefined,
@@ -147,25 +168,22 @@
   seen: SeenDisks,
   reasons: Reason[],
 ): ReadonlyArray<Voter> => {
-  if (change?.add !== undefined) {
-    const disk = seen.cores.get(change.add);
-    if (disk === undefined) reasons.push({ path: 'voters.add', message: `no core named ${change.add} is present` });
-    if (before.some((voter) => voter.name === change.add && voter.disk === disk))
-      reasons.push({ path: 'voters.add', message: `${change.add} votes already` });
-    if (before.some((voter) => voter.name === change.add))
-      reasons.push({
-        path: 'voters.add',
-        message: `${change.add} is still a voter under another disk; remove that one first`,
-      });
-    return [...before, { name: change.add, disk: disk ?? '' }];
-  }
-  if (change?.remove !== undefined) {
-    const left = before.filter((voter) => voter.name !== change.remove);
-    if (left.length === before.length) reasons.push({ path: 'voters.remove', message: `${change.remove} is no voter` });
-    if (left.length === 0) reasons.push({ path: 'voters.remove', message: 'the last voter cannot go' });
-    return left;
-  }
-  return before;
+  const stays = change?.remove === undefined ? before : before.filter((voter) => voter.name !== change.remove);
+  if (change?.remove !== undefined && stays.length === before.length)
+    reasons.push({ path: 'voters.remove', message: `${change.remove} is no voter` });
+  if (stays.length === 0 && change?.add === undefined)
+    reasons.push({ path: 'voters.remove', message: 'the last voter cannot go' });
+  if (change?.add === undefined) return stays;
+  const disk = seen.cores.get(change.add);
+  if (disk === undefined) reasons.push({ path: 'voters.add', message: `no core named ${change.add} is present` });
+  if (before.some((voter) => voter.name === change.add && voter.disk === disk))
+    reasons.push({ path: 'voters.add', message: `${change.add} votes already` });
+  if (stays.some((voter) => voter.name === change.add))
+    reasons.push({
+      path: 'voters.add',
+      message: `${change.add} is still a voter under another disk; remove that one first`,
+    });
+  return [...stays, { name: change.add, disk: disk ?? '' }];
 };
 
 /** Applies a change to a configuration, whole or not at all. */
@@ -180,6 +198,8 @@
   const bindings = merged(before.bindings, change.bindings, fresh);
   const weights = merged(before.weights, change.weights, fresh);
   const voters = mergeVoters(before.voters, change.voters, seen, reasons);
+  if (change.traffic)
+    reasons.push(...trafficRules.against(before.traffic, change.traffic.basedOn, change.traffic.value));
   const claimed = new Map<string, string>();
   for (const [name, binding] of Object.entries(bindings)) {
     for (const service of new Set([binding.service, ...Object.keys(binding.shares ?? {})])) {
@@ -224,6 +244,11 @@
     seating: { ...(fresh ? founded([]).seating : before.seating), ...change.seating },
     retention: { ...(fresh ? founded([]).retention : before.retention), ...change.retention },
     moves: {},
+    ...((change.traffic ?? before.traffic) && { traffic: change.traffic?.value ?? before.traffic }),
+    ...((change.models ?? before.models) && { models: newest(before.models, change.models) }),
+    ...((change.emptied ?? before.emptied) && {
+      emptied: [...new Set([...(before.emptied ?? []), ...(change.emptied ? [change.emptied] : [])])],
+    }),
     voters,
     formerVoters: change.voters === undefined ? [] : before.voters,
     stores:
--- a/src/shared/configurationSchema.ts
+++ b/src/shared/configurationSchema.ts
@@ -129,8 +129,8 @@
   .strict()
   .test(
     'one',
-    'voters change one at a time: name either add or remove',
-    (value) => value === undefined || value === null || (value.add === undefined) !== (value.remove === undefined),
+    'voters change one at a time: name one to add, one to remove, or one of each',
+    (value) => value === undefined || value === null || value.add !== undefined || value.remove !== undefined,
   );
 
 /** The schema of a change document: what an operator hands over in one call. */
@@ -147,6 +147,14 @@
     voters: voters.default(undefined),
     /** Said by the sweep: the store move of this epoch has copied everything. */
     settledEpoch: whole(),
+    /** The declared traffic has rules of its own; here only its frame. */
+    traffic: yup
+      .object({ basedOn: whole().required(), value: yup.mixed().required() })
+      .noUnknown()
+      .strict()
+      .default(undefined),
+    models: recordOf(whole().min(1).required()),
+    emptied: yup.string(),
     /** Said by the calendar: how far its moves came. */
     moveSteps: recordOf(progress),
   })
