--- a/src/core/voter.ts
+++ b/src/core/voter.ts
@@ -54,8 +54,8 @@
   const pending = table<ReadonlyArray<number>>([]);
   const startedAt = time.granted();
   const learntAt = new Map<number, number>();
-  const silent = (): boolean =>
-    options.restarted && time.granted() < startedAt + Math.max(options.leaseMs, options.dutyLeaseMs);
+  /** A restarted voter has forgotten what it granted, so it waits until all of that must have ended. */
+  const silent = (lengthMs: number): boolean => options.restarted && time.granted() < startedAt + lengthMs;
   /** A sequence whose record was lost here counts as accepted: what was vouched for is not known any more. */
   const accepted = (): number =>
     Math.max(index.highestAccepted(), ...pending.get(), ...[...records.damaged()].map(sequenceOf));
@@ -80,7 +80,7 @@
 
   const mayVote = (sequence: number, value: Uint8Array | undefined): Effect.Effect<string | undefined, Fault> =>
     Effect.gen(function* () {
-      if (silent()) return 'restarted; waits out a full lease before it votes';
+      if (silent(options.leaseMs)) return 'restarted; waits out a full lease before it votes';
       if (sequence === 1) {
         if (chosenSequence() > 0 && !records.head(keyOf(1))) return 'founded already';
         const named =
@@ -135,7 +135,7 @@
     });
 
   const lease = (ask: { disk: string; holder: string; address: string; sequence: number }): Answer => {
-    const granted = ask.disk === options.disk && !silent() && ask.sequence >= accepted();
+    const granted = ask.disk === options.disk && !silent(options.leaseMs) && ask.sequence >= accepted();
     if (granted) {
       grants.swap((now) =>
         new Map([...now].filter(([, grant]) => grant.until > time.granted())).set(ask.holder, {
@@ -162,7 +162,7 @@
           remaining: free ? 0 : Math.ceil(held.until - now),
         },
       });
-    if (ask.disk !== options.disk || silent() || !free || ask.token < (held?.token ?? 0)) return answer(false);
+    if (ask.disk !== options.disk || silent(options.dutyLeaseMs) || !free || ask.token < (held?.token ?? 0)) return answer(false);
     if (ask.token === 0) return answer(false);
     if (held !== undefined && ask.token === held.token && held.holder !== ask.holder) return answer(false);
     duties.swap((state) =>
--- a/src/fleet/core/coreProgram.ts
+++ b/src/fleet/core/coreProgram.ts
@@ -7,7 +7,6 @@
 import { realDisk } from '../../edge/realDisk.js';
 import { realTime } from '../../edge/realTime.js';
 import type { Answer, Ask } from '../../gen/foxdeck_pb.js';
-import { makeLeases } from '../../node/leases.js';
 import type { Presence } from '../../node/news.js';
 import { makeUpkeep } from '../../node/upkeep.js';
 import { answers } from '../../shared/answers.js';
@@ -17,19 +16,19 @@
 import type { Log } from '../../shared/log.js';
 import { rendezvous } from '../../shared/rendezvous.js';
 import { follow } from '../follow.js';
-import type { Followed, FleetSettings, Member, Sampler } from '../fleetTypes.js';
+import type { Followed, FleetSettings, Member } from '../fleetTypes.js';
 import type { Program, ProgramTools } from '../program.js';
-import { makeSamplerClient } from '../samplerClient.js';
 import { serveCalls } from '../serveCalls.js';
 import { serveControl } from './serveControl.js';
 import { makeControlDesk } from './controlDesk.js';
+import { makeLoadPermits } from './loadPermits.js';
 import { makeNewsDesk } from './newsDesk.js';
-import { makeOrders } from './orders.js';
 import { steward } from './steward.js';
 
-const coreLeaseMs = 1000;
+/** Nobody here serves on leases of the configuration: what fronts follow is bounded by their contact with the cores. */
+const coreLeaseMs = 1;
+const dutySlackMs = 1000;
 const stewardDuty = 'steward';
-const ordersDuty = 'orders';
 
 const every = (ms: number, work: () => unknown): NodeJS.Timeout => {
   let running = false;
@@ -106,8 +105,8 @@
     log: tools.fullLog,
     nodes: presences,
     learnt: ({ sequence, configuration }) => {
-      const { models, stores, traffic } = configuration;
-      followedNow = { sequence, models: models ?? {}, stores, traffic };
+      const { models, stores, voters, traffic } = configuration;
+      followedNow = { sequence, models: models ?? {}, stores, voters, traffic };
       log.event('configuration_applied', { sequence, traffic: traffic?.version ?? 0 });
       desk?.wake();
     },
@@ -121,7 +120,7 @@
     ),
     restarted: !disk.fresh,
     leaseMs: coreLeaseMs,
-    dutyLeaseMs: settings.bounds.leaseMs,
+    dutyLeaseMs: settings.bounds.leaseMs + dutySlackMs,
     time,
     log: tools.fullLog,
     learnt: register.learn,
@@ -142,18 +141,6 @@
     self,
     now,
   });
-  const leases = makeLeases({
-    name: settings.name,
-    holder,
-    peer: settings.peer,
-    leaseMs: coreLeaseMs,
-    register,
-    links,
-    time,
-    log: tools.fullLog,
-    nodes: presences,
-  });
-
   const handleAsk = (ask: Ask): Effect.Effect<Answer> => {
     const byVoter = voter.handle(ask);
     const answered =
@@ -169,6 +156,7 @@
       Effect.succeed(answers.bounce(cause._tag === 'Fail' ? cause.error.step : 'ask', String(cause).slice(0, 200))),
     );
   };
+  const permits = makeLoadPermits(now);
   await serveCalls(
     channels,
     settings.peer,
@@ -178,6 +166,8 @@
         desk.tell((body as { readonly self: Member }).self);
         return Promise.resolve({});
       }
+      if (name === 'weights.permit') return Promise.resolve(permits.ask(body as never));
+      if (name === 'weights.done') return Promise.resolve(permits.done(body as never));
       return undefined;
     },
     log,
@@ -210,42 +200,20 @@
     disk,
     handle: handleAsk,
   });
-  let ordersSince: { fence: number; at: number } | undefined;
-  const fence = (): number | undefined => {
-    const token = leases.duty(ordersDuty);
-    if (token === undefined) {
-      ordersSince = undefined;
-      return undefined;
-    }
-    if (ordersSince?.fence !== token) ordersSince = { fence: token, at: now() };
-    // The holder before may have sent its last order up to now; nobody takes turns within a lease.
-    return now() - ordersSince.at < settings.bounds.leaseMs + settings.bounds.thawMs ? undefined : token;
-  };
-  const merged = (): ReadonlyArray<Sampler> => {
-    const all = new Map(follower.view().samplers);
-    for (const sampler of desk.samplers()) {
-      const known = all.get(sampler.id);
-      all.set(sampler.id, known ? follow.later(known, sampler) : sampler);
-    }
-    return [...all.values()].filter((sampler) => sampler.state !== 'gone');
-  };
-  const orders = makeOrders({
-    holder: settings.name,
-    fence,
-    samplers: merged,
-    models: () => followedNow?.models ?? {},
-    client: makeSamplerClient(2),
-    dialect,
-    now,
-    changed: desk.setLoads,
-    event: log.event,
-  });
   const keeper = steward.make({
     register,
     channels,
     members,
     tolerance: settings.tolerance,
-    held: () => leases.duty(stewardDuty) !== undefined,
+    held: () => {
+      const cores = members().filter((member) => member.role === 'core' && member.state === 'ready');
+      return (
+        rendezvous(
+          stewardDuty,
+          cores.map((core) => core.name),
+        )[0] === settings.name
+      );
+    },
     now,
     event: log.event,
   });
@@ -255,26 +223,9 @@
     if (sequence > (register.known()?.sequence ?? 0)) void Effect.runPromise(Effect.ignore(upkeep.follow));
   });
 
-  const dutyFor = async (name: string): Promise<void> => {
-    const cores = members().filter((member) => member.role === 'core' && member.state === 'ready');
-    const first = rendezvous(
-      name,
-      cores.map((core) => core.name),
-    )[0];
-    const held = leases.duty(name) !== undefined;
-    if (state !== 'ready' || (!held && first !== settings.name)) return;
-    await Effect.runPromise(leases.acquire(name));
-  };
   const timers = [
     every(250, () => desk.tick()),
-    every(300, async () => {
-      await Effect.runPromise(leases.renewConfiguration);
-    }),
-    every(700, async () => {
-      await Promise.all([dutyFor(stewardDuty), dutyFor(ordersDuty)]);
-    }),
     every(300, () => keeper.tick()),
-    every(100, () => orders.tick()),
     every(400, async () => {
       if (settings.firstStart && !register.known()) await Effect.runPromise(Effect.ignore(upkeep.founding));
       await Effect.runPromise(Effect.ignore(upkeep.follow));
@@ -286,7 +237,6 @@
     stop: async () => {
       state = 'leaving';
       follower.tell();
-      for (const duty of leases.held()) await Effect.runPromise(leases.release(duty)).catch(() => undefined);
       await new Promise((resolve) => setTimeout(resolve, 500));
       for (const timer of timers) clearInterval(timer);
       follower.stop();
--- /dev/null
+++ b/src/fleet/core/loadPermits.ts
@@ -0,0 +1,51 @@
+/** A front's wish to load a version at a sampler, with what waits for that version. */
+export type LoadWish = {
+  readonly sampler: string;
+  readonly model: string;
+  readonly version: number;
+  /** Items that wait, the time until they are due, and how long one runs. */
+  readonly items: number;
+  readonly leftMs: number;
+  readonly runMs: number;
+  readonly slots: number;
+};
+
+/** Says which samplers load new weights: few at once, and no more of them than the waiting work needs. */
+export type LoadPermits = {
+  readonly ask: (wish: LoadWish) => { readonly granted: boolean };
+  readonly done: (load: Pick<LoadWish, 'sampler' | 'model' | 'version'>) => Record<string, never>;
+};
+
+const atOnce = 2;
+const underMs = 1800;
+/** Loads up to this many samplers are free where all trainers share alike. */
+const least = 2;
+const spareShare = 0.4;
+const grantedMs = 60_000;
+
+/** Makes a core's permits: soft state, since more loads than meant are only slower. */
+export const makeLoadPermits = (now: () => number): LoadPermits => {
+  const under = new Map<string, number>();
+  const granted = new Map<string, { readonly samplers: Set<string>; readonly at: number }>();
+  return {
+    ask: (wish) => {
+      const at = now();
+      for (const [key, until] of under) if (until <= at) under.delete(key);
+      for (const [key, each] of granted) if (at - each.at > grantedMs) granted.delete(key);
+      const key = `${wish.model} ${wish.version}`;
+      const entry = granted.get(key) ?? { samplers: new Set<string>(), at };
+      const time = Math.max(300, wish.leftMs * spareShare);
+      const need = Math.ceil((wish.items * wish.runMs) / (Math.max(1, wish.slots) * time));
+      const enough = entry.samplers.size >= Math.max(least, need) && !entry.samplers.has(wish.sampler);
+      if (enough || (under.size >= atOnce && !under.has(wish.sampler))) return { granted: false };
+      entry.samplers.add(wish.sampler);
+      granted.set(key, entry);
+      under.set(wish.sampler, at + underMs);
+      return { granted: true };
+    },
+    done: ({ sampler }) => {
+      under.delete(sampler);
+      return {};
+    },
+  };
+};
--- a/src/fleet/core/newsDesk.ts
+++ b/src/fleet/core/newsDesk.ts
@@ -1,8 +1,8 @@
 import type { FollowAnswer, FollowAsk } from '../follow.js';
 import { follow } from '../follow.js';
-import type { Followed, Load, Member, Sampler } from '../fleetTypes.js';
+import type { Followed, Member, Sampler } from '../fleetTypes.js';
 
-/** What a core tells those who follow it: members, samplers, loads and the register, each with a revision. */
+/** What a core tells those who follow it: members, samplers and the register, each with a revision. */
 export type NewsDesk = {
   readonly follow: (ask: FollowAsk) => Promise<FollowAnswer>;
   readonly tell: (member: Member) => void;
@@ -13,7 +13,6 @@
   readonly announce: (told: Omit<Sampler, 'quiet' | 'born'>) => boolean;
   /** Takes another core's word. */
   readonly hear: (told: Sampler) => void;
-  readonly setLoads: (loads: ReadonlyArray<Load>) => void;
   /** Answers all who wait: the register moved on. */
   readonly wake: () => void;
   /** Ends leases that ran out. */
@@ -38,9 +37,8 @@
   const { now } = options;
   const members = new Map<string, { member: Member; heardAt: number }>();
   const samplers = new Map<string, Kept>();
-  let loads: ReadonlyArray<Load> = [];
   let revision = 1;
-  let [membersAt, loadsAt] = [1, 1];
+  let membersAt = 1;
   let waiting: Array<() => void> = [];
 
   let toldOfSelf = '';
@@ -85,12 +83,12 @@
       revision,
       ...(membersAt > from && { members: list() }),
       ...(changed.length > 0 && { samplers: changed }),
-      ...(loadsAt > from && { loads }),
       ...(newer && {
         followed: {
           sequence: newer.sequence,
           models: newer.models,
           stores: newer.stores,
+          voters: newer.voters,
           ...(newer.traffic &&
             newer.traffic.version !== ask.trafficVersion && { traffic: { ...newer.traffic, document: '' } }),
         },
@@ -147,13 +145,6 @@
       } else if (told.quiet && !known.sampler.quiet && known.sampler.beat > told.beat)
         keep(known.sampler, known.heardAt);
     },
-    setLoads: (next) => {
-      if (JSON.stringify(next) === JSON.stringify(loads)) return;
-      loads = next;
-      revision += 1;
-      loadsAt = revision;
-      wake();
-    },
     wake,
     tick: () => {
       const at = now();
--- a/src/fleet/fleetTypes.ts
+++ b/src/fleet/fleetTypes.ts
@@ -63,14 +63,6 @@
   readonly born: number;
 };
 
-/** A load of weights that an orderer has under way. */
-export type Load = {
-  readonly sampler: string;
-  readonly model: string;
-  readonly version: number;
-  readonly done: boolean;
-};
-
 /** How requests of a binding are treated. */
 export type BindingKind = 'idempotent' | 'onceOnly' | 'streaming' | 'rollout';
 
@@ -132,6 +124,7 @@
   readonly sequence: number;
   readonly models: Readonly<Record<string, number>>;
   readonly stores: StoreView;
+  readonly voters: ReadonlyArray<Voter>;
   readonly traffic: Traffic | undefined;
 };
 
--- a/src/fleet/follow.ts
+++ b/src/fleet/follow.ts
@@ -1,6 +1,6 @@
 import type { Channels } from '../edge/channels.js';
 import { table } from '../shared/table.js';
-import type { Followed, Load, Member, Sampler, Traffic } from './fleetTypes.js';
+import type { Followed, Member, Sampler, Traffic } from './fleetTypes.js';
 
 /** What a follower says it knows already. */
 export type FollowAsk = {
@@ -18,7 +18,6 @@
   readonly revision: number;
   readonly members?: ReadonlyArray<Member>;
   readonly samplers?: ReadonlyArray<Sampler>;
-  readonly loads?: ReadonlyArray<Load>;
   readonly followed?: Omit<Followed, 'traffic'> & { readonly traffic?: Traffic };
 };
 
@@ -26,7 +25,6 @@
 export type FleetView = {
   readonly members: ReadonlyMap<string, Member>;
   readonly samplers: ReadonlyMap<string, Sampler>;
-  readonly loads: ReadonlyArray<Load>;
   readonly followed: Followed | undefined;
 };
 
@@ -48,7 +46,6 @@
   readonly revision: number;
   readonly members: ReadonlyArray<Member>;
   readonly samplers: ReadonlyMap<string, Sampler>;
-  readonly loads: ReadonlyArray<Load>;
 };
 
 const pullMs = 2000;
@@ -65,7 +62,6 @@
 const merge = (views: ReadonlyArray<CoreView>, followed: Followed | undefined): FleetView => {
   const members = new Map<string, Member>();
   const samplers = new Map<string, Sampler>();
-  const loads = new Map<string, Load>();
   for (const view of views) {
     for (const member of view.members) {
       const known = members.get(member.name);
@@ -75,9 +71,8 @@
       const known = samplers.get(sampler.id);
       samplers.set(sampler.id, known ? later(known, sampler) : sampler);
     }
-    for (const load of view.loads) loads.set(`${load.sampler} ${load.model}`, load);
   }
-  return { members, samplers, loads: [...loads.values()], followed };
+  return { members, samplers, followed };
 };
 
 /** The rules by which several cores' words become one. */
@@ -88,7 +83,7 @@
   readonly now: () => number;
 }): Follower => {
   const { channels, now } = options;
-  const empty: FleetView = { members: new Map(), samplers: new Map(), loads: [], followed: undefined };
+  const empty: FleetView = { members: new Map(), samplers: new Map(), followed: undefined };
   const state = table(empty);
   const cores = new Map<string, CoreView>();
   const running = new Set<string>();
@@ -115,13 +110,12 @@
       revision: heard.revision,
       members: heard.members ?? same?.members ?? [],
       samplers,
-      loads: heard.loads ?? same?.loads ?? [],
     });
     const had = state.get().followed;
     const newer = heard.followed && heard.followed.sequence > (had?.sequence ?? 0) ? heard.followed : undefined;
     const followed = newer ? { ...newer, traffic: newer.traffic ?? had?.traffic } : had;
     const revived = known === undefined || now() - known.heardAt > staleMs;
-    if (newer || heard.members || heard.samplers || heard.loads || revived) publish(followed);
+    if (newer || heard.members || heard.samplers || revived) publish(followed);
   };
   const run = (address: string): void => {
     if (running.has(address) || stopped) return;
--- a/src/fleet/front/desks.ts
+++ b/src/fleet/front/desks.ts
@@ -1,15 +1,17 @@
 import type { Channels } from '../../edge/channels.js';
 import { rendezvous } from '../../shared/rendezvous.js';
 import type { Dialect } from '../dialect.js';
-import type { Advert, Grant, LotResult, Member, Partial, Sampler } from '../fleetTypes.js';
+import type { Advert, Grant, Member, Partial, Sampler } from '../fleetTypes.js';
 import type { FleetView } from '../follow.js';
 import type { SamplerClient } from '../samplerClient.js';
 import type { ItemWord, WatchAnswer } from '../store/storeDesk.js';
 import { traffic } from '../traffic.js';
-import { attempts } from './attempts.js';
 import { runItem, type ItemRun, type RunEnd } from './itemRun.js';
 import type { SamplerDirectory } from './samplerDirectory.js';
 import type { StoreCalls } from './storeCalls.js';
+import type { OrderLease } from './orderLease.js';
+import { makeWeightLoads } from './weightLoads.js';
+import { makeRatings } from './ratings.js';
 import { makeWords } from './words.js';
 
 /** The desks of one front: for each sampler that it owns, which items run there. */
@@ -39,7 +41,6 @@
 const fillMs = 4;
 const suspectMs = 900;
 const turnedAwayMs = 60;
-const ratingMs = 4000;
 
 /** Makes a front's desks. */
 export const makeDesks = (options: {
@@ -52,6 +53,7 @@
   readonly view: () => FleetView;
   readonly now: () => number;
   readonly chance: () => number;
+  readonly lease: OrderLease;
   readonly event: (name: string, fields: Record<string, string | number>) => void;
 }): Desks & { readonly changed: () => void } => {
   const { now, view, dialect, directory, channels } = options;
@@ -59,8 +61,9 @@
   const items = new Map<string, Running>();
   const known = new Map<string, Known>();
   const watching = new Set<string>();
+  /** How long an item of each model runs, on the average of late. */
+  const runMs = new Map<string, number>();
   let leaving = false;
-  let rating = 0;
   const keyOf = (lot: string, id: string): string => `${lot} ${id}`;
 
   const stopRun = (entry: Running): Partial | undefined => {
@@ -86,73 +89,29 @@
     desks.get(entry.sampler.id)?.running.delete(key);
     schedule();
   };
+  const loads = makeWeightLoads({ ...options, changed: () => schedule() });
   const words = makeWords({ channels, stores: options.stores, view, name: options.name, now, dropped: drop });
   const say = (key: string, word: ItemWord): void => {
     release(key);
     words.say(word);
   };
 
-  const versionAt = (desk: Desk, model: string): number => {
-    const loads = view().loads.filter((load) => load.sampler === desk.sampler.id && load.model === model && load.done);
-    return Math.max(desk.sampler.models[model] ?? 0, desk.learnt.get(model) ?? 0, ...loads.map((load) => load.version));
-  };
+  const versionAt = (desk: Desk, model: string): number =>
+    Math.max(desk.sampler.models[model] ?? 0, desk.learnt.get(model) ?? 0);
   const loading = (desk: Desk, model: string): number | undefined => {
-    const load = view().loads.find((each) => each.sampler === desk.sampler.id && each.model === model && !each.done);
-    return load && load.version > versionAt(desk, model) ? load.version : undefined;
+    const coming = loads.coming(desk.sampler.id, model);
+    return coming !== undefined && coming > versionAt(desk, model) ? coming : undefined;
   };
   const leased = (entry: Known | undefined): boolean => entry !== undefined && now() < entry.at + entry.advert.leaseMs;
 
+  const ratings = makeRatings({
+    ...options,
+    wanted: (grant) => items.has(keyOf(grant.lot, grant.item.id)),
+    leased: (lot) => leased(known.get(lot)),
+  });
   const rate = (key: string, entry: Running, text: string, versions: ReadonlyArray<number>): void => {
-    const { grant } = entry;
-    const asked = grant.item.rating;
-    const finish = (result: LotResult): void => say(key, { lot: grant.lot, id: grant.item.id, result });
-    const whole: Omit<LotResult, 'rating'> = { id: grant.item.id, state: 'completed', text, versions };
-    if (!asked) return finish({ ...whole, rating: '' });
-    rating += 1;
-    let faults = 0;
-    const over = (act: () => void): void => {
-      rating -= 1;
-      act();
-    };
-    const again = (): void => {
-      if (!items.has(key)) return over(() => undefined);
-      const binding = traffic.match(view().followed?.traffic, asked.host, asked.path);
-      const wait = (): void => {
-        const timer = setTimeout(again, 80);
-        entry.cancel = () => {
-          clearTimeout(timer);
-          over(() => undefined);
-        };
-      };
-      if (!binding || !leased(known.get(grant.lot))) return wait();
-      const work = attempts(
-        options,
-        {
-          attempt: asked.id,
-          service: traffic.serviceFor(binding, options.chance()),
-          repeatable: true,
-          most: 2,
-          aimMs: binding.aimMs,
-          timeLeftMs: Math.min(ratingMs, binding.timeLeftMs),
-          call: (sampler, left) => dialect.ratingCall(grant.item, sampler, left),
-          allowed: () => items.has(key) && leased(known.get(grant.lot)),
-          retryFaults: false,
-        },
-        (outcome) => {
-          if (!items.has(key)) return over(() => undefined);
-          if (outcome.kind === 'answered' && outcome.status < 300 && outcome.head.stamp !== '')
-            return over(() => finish({ ...whole, rating: outcome.head.stamp }));
-          if (outcome.kind === 'answered' && outcome.status === 500) faults += 1;
-          if (faults >= binding.attempts)
-            return over(() => finish({ ...whole, state: 'abandoned', text: '', versions: [], rating: '' }));
-          wait();
-        },
-      );
-      entry.cancel = () => {
-        work.cancel();
-      };
-    };
-    again();
+    const { lot, item } = entry.grant;
+    entry.cancel = ratings.rate(entry.grant, { text, versions }, (result) => say(key, { lot, id: item.id, result }));
   };
 
   const ended = (key: string, entry: Running, desk: Desk, model: string, began: number, end: RunEnd): void => {
@@ -161,6 +120,8 @@
     desk.running.delete(key);
     schedule();
     if (end.kind === 'whole') {
+      const known = runMs.get(model);
+      runMs.set(model, known === undefined ? now() - began : known + 0.1 * (now() - began - known));
       directory.ended(desk.sampler.id, undefined, 0);
       return rate(key, entry, end.text, end.versions);
     }
@@ -211,10 +172,23 @@
       (end) => ended(key, entry, desk, model, began, end),
       (seen) => {
         if (seen > (desk.learnt.get(model) ?? 0)) desk.learnt.set(model, seen);
+        loads.reached(desk.sampler.id, model, seen);
       },
     );
   };
 
+  const wishFor = (desk: Desk, { advert, at: heard }: Known, at: number): void => {
+    const version = view().followed?.models[advert.model] ?? 1;
+    if (version < advert.minVersion || !(advert.model in desk.sampler.models)) return;
+    const leftMs = advert.leftMs - (at - heard);
+    loads.wish(desk.sampler, {
+      model: advert.model,
+      version,
+      items: advert.needed,
+      leftMs: Math.max(300, leftMs),
+      runMs: runMs.get(advert.model) ?? 500,
+    });
+  };
   const fill = (): void => {
     if (leaving) return;
     const at = now();
@@ -239,7 +213,11 @@
           if (free <= 0 || wanted <= 0) continue;
           const coming = loading(desk, advert.model);
           const version = coming ?? versionAt(desk, advert.model);
-          if (version < advert.minVersion || at < (desk.modelBlocked.get(advert.model) ?? 0)) continue;
+          if (version < advert.minVersion) {
+            wishFor(desk, entry, at);
+            continue;
+          }
+          if (at < (desk.modelBlocked.get(advert.model) ?? 0)) continue;
           const binding = traffic.match(view().followed?.traffic, advert.host, advert.path);
           if (!binding?.shares.some((share) => share.weight > 0 && share.service === desk.sampler.service)) continue;
           // While a version is being loaded, one item tells whether it is there.
@@ -347,7 +325,10 @@
     for (const sampler of samplers.values()) {
       const mine = sampler.state === 'ready' && models.has(sampler.service) && ownerOf(sampler) === options.name;
       const desk = desks.get(sampler.id);
-      if (desk) desk.sampler = sampler;
+      if (desk && desk.sampler !== sampler) {
+        desk.sampler = sampler;
+        for (const [model, version] of Object.entries(sampler.models)) loads.reached(sampler.id, model, version);
+      }
       if (mine && !desk && !leaving)
         desks.set(sampler.id, {
           sampler,
@@ -380,7 +361,7 @@
     counts: () => ({
       owned: desks.size,
       running: [...desks.values()].reduce((sum, d) => sum + d.running.size, 0),
-      rating,
+      rating: ratings.open(),
     }),
     leave: async (mostMs) => {
       const until = now() + mostMs;
--- a/src/fleet/front/frontProgram.ts
+++ b/src/fleet/front/frontProgram.ts
@@ -8,11 +8,15 @@
 import { makeDesks } from './desks.js';
 import { makeLotAsks } from './lotAsks.js';
 import { ordinaryAsks } from './ordinaryAsks.js';
+import { makeOrderLease } from './orderLease.js';
 import { makeSamplerDirectory } from './samplerDirectory.js';
 import { makeStoreCalls } from './storeCalls.js';
 
 const channelsMost = 24;
 const readyWaitMs = 2300;
+const newcomerMs = 1500;
+const newcomerShare = 0.4;
+const newcomerPauseMs = 20;
 const defaultBodyBytes = 32 * 1024 * 1024;
 
 const split = (address: string): { host: string; port: number } => ({
@@ -46,13 +50,14 @@
   const follower = follow.make({ channels, seeds: settings.seeds, self, now });
   const view = follower.view;
   const client = makeSamplerClient(channelsMost);
-  const directory = makeSamplerDirectory({ view, zone: settings.zone, now, chance: Math.random });
+  const directory = makeSamplerDirectory({ view, zone: settings.zone, now, chance: Math.random, idle: client.idle });
   const stores = makeStoreCalls({ channels, view, now });
   const asks = { client, directory, dialect, now, chance: Math.random };
-  const desks = makeDesks({ ...asks, name: settings.name, channels, stores, view, event: log.event });
+  const lease = makeOrderLease({ holder: `${settings.name}#${incarnation}`, channels, view, now, wall });
+  const desks = makeDesks({ ...asks, name: settings.name, channels, stores, view, lease, event: log.event });
   const lots = makeLotAsks({ stores, dialect, wall, event: log.event });
 
-  const route = (message: IncomingMessage, response: ServerResponse, body: Buffer): void => {
+  const route = (message: IncomingMessage, response: ServerResponse, body: Buffer, since: number): void => {
     const head = dialect.ask(message.headers);
     const url = message.url ?? '/';
     const host = String(message.headers.host ?? '');
@@ -92,7 +97,7 @@
       });
       message.on('error', () => undefined);
       message.on('end', () => {
-        if (size <= most) route(message, response, chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+        if (size <= most) route(message, response, chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks), now());
       });
     },
   );
--- a/src/fleet/front/samplerDirectory.ts
+++ b/src/fleet/front/samplerDirectory.ts
@@ -19,6 +19,7 @@
 const freshMs = 30;
 const foreignCost = 1.25;
 const quietCost = 4;
+const connectCost = 1.5;
 const slowdown = 0.25;
 
 /** Makes a front's directory. */
@@ -27,6 +28,8 @@
   readonly zone: string;
   readonly now: () => number;
   readonly chance: () => number;
+  /** Whether a call to an address needs no new connection. */
+  readonly idle: (address: string) => boolean;
 }): SamplerDirectory => {
   const { now } = options;
   const seen = new Map<string, Seen>();
@@ -62,8 +65,9 @@
     const full = out >= sampler.slots ? 3 : 1;
     const foreign = sampler.zone === options.zone ? 1 : foreignCost;
     const quiet = sampler.quiet && now() - okAt > 1500 ? quietCost : 1;
+    const connect = options.idle(sampler.address) ? 1 : connectCost;
     const away = now() < awayUntil ? 50 : 1;
-    return (ewmaMs + 5) * (1 + (2 * out) / Math.max(1, sampler.slots)) * full * foreign * quiet * away;
+    return (ewmaMs + 5) * (1 + (2 * out) / Math.max(1, sampler.slots)) * full * foreign * quiet * away * connect;
   };
   return {
     of,
--- /dev/null
+++ b/src/fleet/front/weightLoads.ts
@@ -0,0 +1,124 @@
+import { rendezvous } from '../../shared/rendezvous.js';
+import type { Channels } from '../../edge/channels.js';
+import type { LoadWish } from '../core/loadPermits.js';
+import type { Dialect } from '../dialect.js';
+import type { Sampler } from '../fleetTypes.js';
+import type { FleetView } from '../follow.js';
+import type { SamplerClient } from '../samplerClient.js';
+import type { OrderLease } from './orderLease.js';
+
+/** Loads of weights at the samplers that a front owns, as far as waiting work wants them. */
+export type WeightLoads = {
+  /** Wishes for a version; does nothing while one is on its way there. */
+  readonly wish: (sampler: Sampler, wish: Omit<LoadWish, 'sampler' | 'slots'>) => void;
+  /** The version that is being loaded. */
+  readonly coming: (sampler: string, model: string) => number | undefined;
+  /** Notes that a sampler was seen to have a version. */
+  readonly reached: (sampler: string, model: string, version: number) => void;
+  readonly forget: (sampler: string) => void;
+};
+
+type Under = { readonly model: string; readonly version: number; ordered: boolean; since: number };
+
+const orderMs = 1000;
+const permitMs = 500;
+const deniedMs = 150;
+const busyMs = 80;
+const lostMs = 2500;
+
+/** Makes a front's loads: a permit, so that few load at once, then the lease to order, then the order. */
+export const makeWeightLoads = (options: {
+  readonly name: string;
+  readonly channels: Channels;
+  readonly client: SamplerClient;
+  readonly dialect: Dialect;
+  readonly lease: OrderLease;
+  readonly view: () => FleetView;
+  readonly now: () => number;
+  readonly changed: () => void;
+  readonly event: (name: string, fields: Record<string, string | number>) => void;
+}): WeightLoads => {
+  const { channels, view, now } = options;
+  const under = new Map<string, Under>();
+  const notBefore = new Map<string, number>();
+
+  const permitCore = (): string | undefined => {
+    const cores = [...view().members.values()].filter((member) => member.role === 'core' && member.state === 'ready');
+    const first = rendezvous(
+      'loads',
+      cores.map((core) => core.name),
+    )[0];
+    return cores.find((core) => core.name === first)?.peer;
+  };
+  const permitted = async (wish: LoadWish): Promise<boolean> => {
+    const core = permitCore();
+    if (!core) return true;
+    try {
+      return ((await channels.call(core, 'weights.permit', wish, permitMs)) as { granted: boolean }).granted;
+    } catch {
+      // Without the core that counts loads they are only slower, never wrong.
+      return true;
+    }
+  };
+  const over = (id: string, entry: Under, againMs: number): void => {
+    if (under.get(id) !== entry) return;
+    under.delete(id);
+    notBefore.set(id, now() + againMs);
+    options.changed();
+  };
+  const order = (sampler: Sampler, entry: Under, fence: number): void => {
+    const { model, version } = entry;
+    const call = options.dialect.orderCall({ sampler, model, version, holder: options.name, fence });
+    let status = 0;
+    const done = (reason: string): void => {
+      options.event('weights_ordered', { sampler: sampler.id, model, version, status, reason });
+      if (status === 202 || status === 200 || status === 0) {
+        // A silence may hide an order that was taken: the next item tells.
+        entry.ordered = true;
+        entry.since = now();
+        options.changed();
+      } else over(sampler.id, entry, busyMs);
+    };
+    options.client.call(sampler.address, call, orderMs, {
+      head: (seen) => (status = seen),
+      data: () => undefined,
+      ended: () => done(''),
+      failed: (reason) => done(reason),
+    });
+  };
+  const begin = async (sampler: Sampler, entry: Under, wish: LoadWish): Promise<void> => {
+    if (!(await permitted(wish))) return over(sampler.id, entry, deniedMs);
+    const lease = await options.lease.acquire(sampler.id);
+    if (under.get(sampler.id) !== entry) return;
+    if (!lease || now() >= lease.until) return over(sampler.id, entry, deniedMs);
+    order(sampler, entry, lease.fence);
+  };
+  return {
+    wish: (sampler, wish) => {
+      const known = under.get(sampler.id);
+      if (known && now() - known.since < lostMs) return;
+      if (now() < (notBefore.get(sampler.id) ?? 0)) return;
+      const entry: Under = { model: wish.model, version: wish.version, ordered: false, since: now() };
+      under.set(sampler.id, entry);
+      void begin(sampler, entry, { ...wish, sampler: sampler.id, slots: sampler.slots }).catch(() =>
+        over(sampler.id, entry, deniedMs),
+      );
+    },
+    coming: (sampler, model) => {
+      const known = under.get(sampler);
+      return known?.ordered && known.model === model && now() - known.since < lostMs ? known.version : undefined;
+    },
+    reached: (sampler, model, version) => {
+      const known = under.get(sampler);
+      if (!known || known.model !== model || version < known.version) return;
+      under.delete(sampler);
+      const core = permitCore();
+      if (core) void channels.call(core, 'weights.done', { sampler, model, version }, permitMs).catch(() => undefined);
+      options.changed();
+    },
+    forget: (sampler) => {
+      under.delete(sampler);
+      notBefore.delete(sampler);
+    },
+  };
+};
--- a/src/fleet/samplerClient.ts
+++ b/src/fleet/samplerClient.ts
@@ -19,6 +19,8 @@
 /** Calls to samplers over connections that are kept. */
 export type SamplerClient = {
   readonly call: (address: string, call: SamplerCall, timeLeftMs: number, events: CallEvents) => OpenCall;
+  /** True when a kept connection to an address stands idle. */
+  readonly idle: (address: string) => boolean;
   /** Closes the idle connections to an address that is not used any more. */
   readonly forget: (address: string) => void;
   readonly counts: () => { readonly calls: number; readonly connections: number };
@@ -108,6 +110,8 @@
         },
       };
     },
+    idle: (address) =>
+      Object.values(agents.get(address)?.freeSockets ?? {}).some((sockets) => (sockets?.length ?? 0) > 0),
     forget: (address) => {
       agents.get(address)?.destroy();
       agents.delete(address);
