Emptying a store ends: copies beside the view are dropped and never counted

Ruled out: a dead leader (orphans are taken over after 0.7 s), a slow copy. Now a store takes copies' messages of its own epoch only, drops what lies beside a settled view, and says what is unsettled.

--- a/src/fleet/core/steward.ts
+++ b/src/fleet/core/steward.ts
@@ -12,9 +12,10 @@
 const settleMs = 1000;
 const goneMs = 3000;
 const voterGoneMs = 2000;
+const sayMs = 1000;
 
 /** What a store says when asked how far a change of the view came. */
-type Unsettled = { readonly epoch: number; readonly count: number };
+type Unsettled = { readonly epoch: number; readonly count: number; readonly some: ReadonlyArray<string> };
 
 /** The stores that the next view should have, or undefined when the present one fits. */
 const nextStores = (options: {
@@ -53,6 +54,7 @@
   const { register, now } = options;
   const copies = placement.copies(options.tolerance);
   const lastSeen = new Map<string, number>();
+  let saidAt = now();
   let firstStores = { count: 0, since: now() };
 
   const submit = async (step: string, change: Omit<Change, 'id' | 'expected'>, sequence: number): Promise<void> => {
@@ -78,7 +80,15 @@
         if (!there) return;
         try {
           const told = (await options.channels.call(there.peer, 'store.unsettled', {}, 800)) as Unsettled;
-          if (told.epoch >= view.epoch && told.count === 0) done.add(placement.key(voter));
+          if (told.epoch >= view.epoch && told.count === 0) return void done.add(placement.key(voter));
+          if (now() - saidAt < sayMs) return;
+          saidAt = now();
+          options.event('stores_unsettled', {
+            store: voter.name,
+            epoch: told.epoch,
+            count: told.count,
+            some: told.some.join(' '),
+          });
         } catch {
           // A store that does not answer has not settled.
         }
--- a/src/fleet/store/lotLeader.ts
+++ b/src/fleet/store/lotLeader.ts
@@ -28,8 +28,8 @@
   readonly stepDown: (led: Led, reason: string) => void;
   /** Sends what copies lack, takes lots that nobody leads toward the present view, and drops those that moved away. */
   readonly tick: () => void;
-  /** How many lots here are not known to stand where the present view wants them. */
-  readonly unsettled: () => number;
+  /** Lots here that are not known to stand where the present view wants them, with what is known of each. */
+  readonly unsettled: () => ReadonlyArray<string>;
   readonly handle: (name: string, body: unknown) => Promise<unknown> | undefined;
 };
 
@@ -113,7 +113,8 @@
     for (const [lot, log] of replica.logs) {
       if (log.entries.length === 0) continue;
       const here = copies.of(lot).some((each) => placement.key(each) === copies.own);
-      if (!here && !moving && log.settled >= epoch && current.length > 0) {
+      // Once the register says that a view is settled, every lot stands where that view has it.
+      if (!here && !moving && current.length > 0) {
         const led = ledLots.get(lot);
         if (led) stepDown(led, 'the lot moved to other stores');
         replica.drop(lot);
@@ -189,14 +190,26 @@
     tick,
     unsettled: () => {
       const { epoch } = view();
-      return [...replica.logs.values()].filter((log) => log.entries.length > 0 && log.settled < epoch).length;
+      const lots: string[] = [];
+      for (const [lot, log] of replica.logs) {
+        if (log.entries.length === 0 || log.settled >= epoch) continue;
+        if (!copies.of(lot).some((each) => placement.key(each) === copies.own)) continue;
+        const led = ledLots.get(lot);
+        const matches = led ? [...led.match].map(([key, match]) => `${key.split(' ')[0]}:${match}`).join(',') : '';
+        lots.push(
+          `${lot}/${log.promised.by.split('#')[0]}/${led ? `${led.values.length}/${led.chosen}/${matches}` : 'not led'}`,
+        );
+      }
+      return lots;
     },
     handle: (name, body) => {
       const handler = (handlers as Record<string, (body: never) => Promise<unknown>>)[name];
       if (!handler) return undefined;
       const { disk, epoch } = body as { disk: string; epoch: number };
       if (disk !== self.disk) return Promise.reject(new Fault({ step: name, reason: 'meant for another disk' }));
-      if (epoch < view().epoch) return Promise.reject(new Fault({ step: name, reason: 'of an older epoch' }));
+      // A store that is behind learns the epoch in a moment; until then it could take away what it was just told.
+      if (epoch !== view().epoch)
+        return Promise.reject(new Fault({ step: name, reason: `of epoch ${epoch}, not ${view().epoch}` }));
       return handler(body as never);
     },
   };
--- a/src/fleet/store/storeProgram.ts
+++ b/src/fleet/store/storeProgram.ts
@@ -41,10 +41,12 @@
   const replica = lotReplica.make({ logs, journal, now });
   let leader: LotLeader | undefined = undefined;
   const desk = makeStoreDesk({ leader: () => leader!, now, wall, event: log.event });
+  const unsettled = () => {
+    const lots = leader!.unsettled();
+    return { epoch: viewOf().epoch, count: lots.length, some: lots.slice(0, 3) };
+  };
   const handle = (name: string, body: unknown): Promise<unknown> | undefined =>
-    name === 'store.unsettled'
-      ? Promise.resolve({ epoch: viewOf().epoch, count: leader!.unsettled(), lots: logs.size })
-      : (leader!.handle(name, body) ?? desk.handle(name, body));
+    name === 'store.unsettled' ? Promise.resolve(unsettled()) : (leader!.handle(name, body) ?? desk.handle(name, body));
   const follower: Follower = follow.make({ channels, seeds: settings.seeds, self, now });
   const viewOf = () => follower.view().followed?.stores ?? { epoch: 0, current: [], previous: [] };
   leader = makeLotLeader({
