--- a/src/fleet/core/coreProgram.ts
+++ b/src/fleet/core/coreProgram.ts
@@ -232,6 +232,11 @@
       await Effect.runPromise(Effect.ignore(upkeep.backfill));
     }),
   ];
+  // Whoever orders a sampler takes a fence above this sequence: voters that restarted have forgotten the fences before.
+  if (register.known()) {
+    const change = { id: `start/${settings.name}/${incarnation}.${Math.floor(Math.random() * 1e9)}` };
+    void Effect.runPromise(register.change(Buffer.from(JSON.stringify(change)))).catch(() => undefined);
+  }
   log.event('started', { role: 'core', disk: disk.id, sequence: register.known()?.sequence ?? 0 });
   return {
     stop: async () => {
--- a/src/fleet/follow.ts
+++ b/src/fleet/follow.ts
@@ -52,7 +52,7 @@
 const staleMs = 2600;
 const pauseMs = 250;
 
-/** Of two words on one sampler the later one: an end is final, otherwise the higher beat, and a doubt at the same beat. */
+/** Of two words on one sampler the later one: an end is final, then the higher beat, then a doubt at the same beat. */
 const later = (one: Sampler, other: Sampler): Sampler => {
   if (one.state === 'gone' || other.state === 'gone') return one.state === 'gone' ? one : other;
   if (one.beat !== other.beat) return one.beat > other.beat ? one : other;
--- a/src/fleet/front/attempts.ts
+++ b/src/fleet/front/attempts.ts
@@ -38,8 +38,8 @@
 const hedgeShare = 0.7;
 
 /**
- * Sends a request to one sampler after another until one gives its whole answer. A repeatable request that takes long is
- * sent to a second sampler while the first goes on; the first whole answer counts.
+ * Sends a request to one sampler after another until one gives its whole answer. A repeatable request that takes long
+ * is sent to a second sampler while the first goes on; the first whole answer counts.
  */
 export const attempts = (
   tools: {
@@ -57,6 +57,8 @@
   const tried = new Set<string>();
   const open = new Map<number, { readonly abort: () => void }>();
   let [sends, over, doubtful] = [0, false, false];
+  /** Kept connections that a sampler had forgotten don't use up attempts, as long as they are few. */
+  let staleSends = 2;
   let last: Attempted | undefined;
   let hedge: NodeJS.Timeout | undefined;
   let retry: NodeJS.Timeout | undefined;
@@ -137,7 +139,14 @@
         last = answer;
         next();
       },
-      failed: (reason, sent) => failed(reason, sent, awayMs),
+      failed: (reason, sent, stale) => {
+        if (stale && rules.repeatable) {
+          tried.delete(sampler.id);
+          sends -= staleSends > 0 ? 1 : 0;
+          staleSends -= 1;
+        }
+        failed(reason, sent, stale ? 0 : awayMs);
+      },
     });
     open.set(place, call);
     if (rules.repeatable && sends < rules.most && hedge === undefined) {
--- a/src/fleet/front/desks.ts
+++ b/src/fleet/front/desks.ts
@@ -56,7 +56,7 @@
   readonly lease: OrderLease;
   readonly event: (name: string, fields: Record<string, string | number>) => void;
 }): Desks & { readonly changed: () => void } => {
-  const { now, view, dialect, directory, channels } = options;
+  const { now, view, directory, channels } = options;
   const desks = new Map<string, Desk>();
   const items = new Map<string, Running>();
   const known = new Map<string, Known>();
--- a/src/fleet/front/frontProgram.ts
+++ b/src/fleet/front/frontProgram.ts
@@ -53,7 +53,7 @@
   const directory = makeSamplerDirectory({ view, zone: settings.zone, now, chance: Math.random, idle: client.idle });
   const stores = makeStoreCalls({ channels, view, now });
   const asks = { client, directory, dialect, now, chance: Math.random };
-  const lease = makeOrderLease({ holder: `${settings.name}#${incarnation}`, channels, view, now, wall });
+  const lease = makeOrderLease({ holder: `${settings.name}#${incarnation}`, channels, view, now });
   const desks = makeDesks({ ...asks, name: settings.name, channels, stores, view, lease, event: log.event });
   const lots = makeLotAsks({ stores, dialect, wall, event: log.event });
 
@@ -66,12 +66,16 @@
     const lotCall = dialect.lotCall(message.method ?? '', url, message.headers);
     if (lotCall) return reply(lots.call(lotCall));
     const { followed } = view();
-    if (!followed?.traffic)
+    if (!followed?.traffic) {
+      // A front that has just begun learns the traffic in a moment; a refusal would cost the caller a whole try.
+      if (now() - since < Math.min(newcomerMs, head.timeLeftMs * newcomerShare))
+        return void setTimeout(() => route(message, response, body, since), newcomerPauseMs);
       return ordinaryAsks.send(
         response,
         dialect.refusal(503, head.attempt, 500, 'no traffic is declared yet'),
         leaving,
       );
+    }
     const binding = traffic.match(followed.traffic, host, url.split('?')[0]!);
     if (!binding)
       return ordinaryAsks.send(response, dialect.refusal(404, head.attempt, undefined, 'no such route'), leaving);
--- a/src/fleet/front/itemRun.ts
+++ b/src/fleet/front/itemRun.ts
@@ -106,7 +106,7 @@
       else if (status === 500) finish({ kind: 'fault' });
       else finish({ kind: 'cut', partial: kept(), reason: `answered with ${status}`, suspect: true });
     },
-    failed: (reason) => finish({ kind: 'cut', partial: kept(), reason, suspect: true }),
+    failed: (reason, _sent, stale) => finish({ kind: 'cut', partial: kept(), reason, suspect: !stale }),
   });
   const watch = setInterval(() => {
     if (now() - heardAt < silentMs) return;
--- a/src/fleet/front/orderLease.ts
+++ b/src/fleet/front/orderLease.ts
@@ -10,10 +10,15 @@
 
 const askMs = 700;
 /**
- * Orders leave only in the first part of a lease, so that between the last order of one holder and the first of the next
- * there is always more than the lease that the samplers' side reckons with.
+ * Orders leave only in the first part of a lease, so that between the last order of one holder and the first of the
+ * next there is always more than the lease that the samplers' side reckons with.
  */
 const useMs = 600;
+/**
+ * Voters that restart forget fences, so a fence also rests on the register's sequence, which every core raises as it
+ * starts; no clock can bring a lower one.
+ */
+const fencesEach = 1000;
 
 /** Makes a front's order leases; `holder` names this life of the process. */
 export const makeOrderLease = (options: {
@@ -21,7 +26,6 @@
   readonly channels: Channels;
   readonly view: () => FleetView;
   readonly now: () => number;
-  readonly wall: () => number;
 }): OrderLease => {
   const { channels, view, now } = options;
   const fences = new Map<string, number>();
@@ -52,7 +56,10 @@
       if (looked.heard.some((each) => each.holder !== '' && each.holder !== options.holder)) return undefined;
       const highest = Math.max(0, ...looked.heard.map((each) => each.token));
       const own = fences.get(sampler);
-      const fence = own !== undefined && own === highest ? own : Math.max(highest + 1, options.wall());
+      const fence =
+        own !== undefined && own === highest
+          ? own
+          : Math.max(highest + 1, (view().followed?.sequence ?? 0) * fencesEach);
       const start = now();
       const won = await ask(sampler, fence);
       if (!majority(won.heard.filter((each) => each.granted).length, won.voters)) return undefined;
--- a/src/fleet/front/samplerDirectory.ts
+++ b/src/fleet/front/samplerDirectory.ts
@@ -14,12 +14,15 @@
   readonly latencyMs: (id: string) => number;
 };
 
-type Seen = { out: number; ewmaMs: number; awayUntil: number; okAt: number };
+type Seen = { out: number; ewmaMs: number; awayUntil: number; okAt: number; faults: number };
 
 const freshMs = 30;
 const foreignCost = 1.25;
 const quietCost = 4;
 const connectCost = 1.5;
+/** A sampler that fails part of its requests costs more, as its share of faults of late has it. */
+const faultCost = 8;
+const faultSlowdown = 0.1;
 const slowdown = 0.25;
 
 /** Makes a front's directory. */
@@ -45,7 +48,8 @@
       for (const sampler of view.samplers.values()) {
         if (sampler.state === 'gone') continue;
         const known = newest.get(sampler.address);
-        if (!known || sampler.born > known.born) newest.set(sampler.address, sampler);
+        const newer = known && (known.quiet !== sampler.quiet ? known.quiet : sampler.born > known.born);
+        if (!known || newer) newest.set(sampler.address, sampler);
       }
       for (const sampler of newest.values())
         byService.set(sampler.service, [...(byService.get(sampler.service) ?? []), sampler]);
@@ -56,18 +60,27 @@
   const seenOf = (id: string): Seen => {
     const known = seen.get(id);
     if (known) return known;
-    const fresh: Seen = { out: 0, ewmaMs: freshMs, awayUntil: 0, okAt: 0 };
+    const fresh: Seen = { out: 0, ewmaMs: freshMs, awayUntil: 0, okAt: 0, faults: 0 };
     seen.set(id, fresh);
     return fresh;
   };
   const cost = (sampler: Sampler): number => {
-    const { out, ewmaMs, awayUntil, okAt } = seenOf(sampler.id);
+    const { out, ewmaMs, awayUntil, okAt, faults } = seenOf(sampler.id);
     const full = out >= sampler.slots ? 3 : 1;
     const foreign = sampler.zone === options.zone ? 1 : foreignCost;
     const quiet = sampler.quiet && now() - okAt > 1500 ? quietCost : 1;
     const connect = options.idle(sampler.address) ? 1 : connectCost;
     const away = now() < awayUntil ? 50 : 1;
-    return (ewmaMs + 5) * (1 + (2 * out) / Math.max(1, sampler.slots)) * full * foreign * quiet * away * connect;
+    return (
+      (ewmaMs + 5) *
+      (1 + (2 * out) / Math.max(1, sampler.slots)) *
+      full *
+      foreign *
+      quiet *
+      away *
+      connect *
+      (1 + faultCost * faults)
+    );
   };
   return {
     of,
@@ -90,8 +103,12 @@
       if (tookMs !== undefined) {
         known.ewmaMs += slowdown * (tookMs - known.ewmaMs);
         known.okAt = now();
+        known.faults -= faultSlowdown * known.faults;
         known.awayUntil = 0;
-      } else if (awayMs > 0) known.awayUntil = now() + awayMs;
+      } else if (awayMs > 0) {
+        known.awayUntil = now() + awayMs;
+        known.faults += faultSlowdown * (1 - known.faults);
+      }
     },
     usable: (id) => now() >= seenOf(id).awayUntil,
     latencyMs: (id) => seenOf(id).ewmaMs,
--- a/src/fleet/samplerClient.ts
+++ b/src/fleet/samplerClient.ts
@@ -6,8 +6,11 @@
   readonly head: (status: number, message: IncomingMessage) => void;
   readonly data: (chunk: Buffer | string) => void;
   readonly ended: () => void;
-  /** `sent` is false only while no byte can have reached the sampler. */
-  readonly failed: (reason: string, sent: boolean) => void;
+  /**
+   * `sent` is false only while no byte can have reached the sampler; `stale` is true where a kept connection failed
+   * before any answer began, which says little about the sampler.
+   */
+  readonly failed: (reason: string, sent: boolean, stale: boolean) => void;
 };
 
 /** A call under way. */
@@ -27,6 +30,7 @@
 };
 
 const connectMs = 700;
+const lateReason = 'no answer in time';
 
 /** Makes a process's client; a connection on which anything was odd is never used again. */
 export const makeSamplerClient = (channelsMost: number): SamplerClient => {
@@ -51,6 +55,7 @@
       const colon = address.lastIndexOf(':');
       let over = false;
       let connected = false;
+      let [reused, begun] = [false, false];
       let connecting: NodeJS.Timeout | undefined;
       const finish = (): boolean => {
         if (over) return false;
@@ -69,13 +74,14 @@
         setHost: false,
       });
       const fail = (reason: string): void => {
-        if (finish()) events.failed(reason, connected);
+        if (finish()) events.failed(reason, connected, reused && !begun && reason !== lateReason);
         sent.destroy();
       };
-      const timer = setTimeout(() => fail('no answer in time'), Math.max(1, timeLeftMs));
+      const timer = setTimeout(() => fail(lateReason), Math.max(1, timeLeftMs));
       sent.on('socket', (socket) => {
         if (!socket.connecting) {
           connected = true;
+          reused = true;
           return;
         }
         connections += 1;
@@ -91,6 +97,7 @@
       sent.on('error', (cause) => fail(cause.message));
       sent.on('response', (message) => {
         if (over) return void message.destroy();
+        begun = true;
         events.head(message.statusCode ?? 0, message);
         message.on('data', (chunk: Buffer | string) => {
           if (!over) events.data(chunk);
--- a/src/fleet/store/lotLeader.ts
+++ b/src/fleet/store/lotLeader.ts
@@ -197,7 +197,9 @@
         const led = ledLots.get(lot);
         const matches = led ? [...led.match].map(([key, match]) => `${key.split(' ')[0]}:${match}`).join(',') : '';
         lots.push(
-          `${lot}/${log.promised.by.split('#')[0]}/${led ? `${led.values.length}/${led.chosen}/${matches}` : 'not led'}`,
+          [lot, log.promised.by.split('#')[0], led ? `${led.values.length}/${led.chosen}/${matches}` : 'not led'].join(
+            '/',
+          ),
         );
       }
       return lots;
