Nothing is handed out of a lot before all that its leader found stands again

Ruled out: an end that was not on a majority (it was, and the next reader saw it); leases (they are given by the same leader). Now the board waits until every entry found at the takeover stands on a majority.

--- a/src/fleet/store/lotTakeover.ts
+++ b/src/fleet/store/lotTakeover.ts
@@ -103,6 +103,7 @@
     values,
     origin,
     match: new Map(),
+    found: values.length,
     chosen: 0,
     state: lotState.fresh(),
     confirmedAt: askedAt,
--- a/src/fleet/store/storeDesk.ts
+++ b/src/fleet/store/storeDesk.ts
@@ -73,7 +73,7 @@
   };
   const boardOf = (led: Led): LotBoard | undefined => {
     const { body } = led.state;
-    if (!body || led.state.ended || !led.open) return undefined;
+    if (!body || led.state.ended || !led.open || led.chosen < led.found) return undefined;
     const known = boards.get(led.lot);
     if (known) return known.board;
     const board = makeLotBoard({ lot: led.lot, body, done: led.state.listed, now });
@@ -196,7 +196,7 @@
   };
   const word = async (front: string, each: ItemWord): Promise<'ok' | 'moved'> => {
     const led = options.leader().get(each.lot);
-    if (!led) return 'moved';
+    if (!led || led.chosen < led.found) return 'moved';
     const { state } = led;
     if (state.ended || !state.body || state.listed.has(each.id)) return 'ok';
     const board = boardOf(led);
