--- a/eslint.config.js
+++ b/eslint.config.js
@@ -15,10 +15,10 @@
 };
 
 export default tseslint.config(
-  { ignores: ['src/gen/**', 'dist/**'] },
+  { ignores: ['src/gen/**', 'dist/**', 'target/**'] },
   ...tseslint.configs.recommended,
   {
-    files: ['src/**/*.ts'],
+    files: ['src/**/*.ts', 'platform/**/*.ts'],
     plugins: { house: { rules: { 'one-value': oneValue } } },
     rules: {
       'max-lines': ['error', 400],
--- a/src/core/voter.ts
+++ b/src/core/voter.ts
@@ -162,7 +162,8 @@
           remaining: free ? 0 : Math.ceil(held.until - now),
         },
       });
-    if (ask.disk !== options.disk || silent(options.dutyLeaseMs) || !free || ask.token < (held?.token ?? 0)) return answer(false);
+    if (ask.disk !== options.disk || silent(options.dutyLeaseMs)) return answer(false);
+    if (!free || ask.token < (held?.token ?? 0)) return answer(false);
     if (ask.token === 0) return answer(false);
     if (held !== undefined && ask.token === held.token && held.holder !== ask.holder) return answer(false);
     duties.swap((state) =>
--- a/src/edge/channels.ts
+++ b/src/edge/channels.ts
@@ -88,12 +88,16 @@
     const channel: Channel = { socket, pending: slab<Waiting>(), heardAt: performance.now(), unsent: [] };
     channels.set(address, channel);
     let reason = 'the channel closed';
+    let connected = false;
     const connecting = setTimeout(() => socket.destroy(new Error('no connection in time')), connectMs);
     const feed = splitter((frame) => {
       if (frame.body.case !== 'answer') throw new Error('an ask came where answers are due');
       channel.pending.take(frame.index, frame.generation)?.done(frame.body.value);
     });
-    socket.on('connect', () => clearTimeout(connecting));
+    socket.on('connect', () => {
+      connected = true;
+      clearTimeout(connecting);
+    });
     socket.on('data', (chunk: Buffer) => {
       channel.heardAt = performance.now();
       counted.received += chunk.length;
@@ -109,7 +113,7 @@
       clearTimeout(connecting);
       if (channels.get(address) === channel) channels.delete(address);
       for (const waiting of channel.pending.drain())
-        waiting.failed(new Fault({ step: 'ask', cohortMember: address, reason, unknown: true }));
+        waiting.failed(new Fault({ step: 'ask', cohortMember: address, reason, unknown: connected }));
     });
     return channel;
   };
--- a/src/fleet/core/newsDesk.ts
+++ b/src/fleet/core/newsDesk.ts
@@ -141,7 +141,9 @@
       if (heard === told) {
         const { beat: _old, ...before } = known.sampler;
         const { beat: _new, ...after } = told;
-        keep(told, known.heardAt, JSON.stringify(before) === JSON.stringify(after));
+        // Whoever heard it last watches over it.
+        const passed = told.state !== 'gone' && told.beat > known.sampler.beat;
+        keep(told, passed ? undefined : known.heardAt, JSON.stringify(before) === JSON.stringify(after));
       } else if (told.quiet && !known.sampler.quiet && known.sampler.beat > told.beat)
         keep(known.sampler, known.heardAt);
     },
@@ -165,8 +167,10 @@
         const { sampler, heardAt } = kept;
         if (heardAt === undefined) continue;
         const silent = at - heardAt;
-        if (sampler.state === 'gone' ? silent > goneKeptMs : silent > goneKeptMs) samplers.delete(id);
-        else if (!sampler.quiet && sampler.state !== 'gone' && silent > options.beatMs * 3.2)
+        if (silent > goneKeptMs) {
+          if (sampler.state === 'gone') samplers.delete(id);
+          else keep({ ...sampler, state: 'gone' }, at);
+        } else if (!sampler.quiet && sampler.state !== 'gone' && silent > options.beatMs * 3.2)
           keep({ ...sampler, quiet: true }, heardAt);
       }
     },
--- a/src/fleet/front/attempts.ts
+++ b/src/fleet/front/attempts.ts
@@ -132,10 +132,11 @@
           return failed(`turned away with ${status}`, false, status === 421 ? awayMs : fullMs);
         }
         open.delete(place);
-        const fine = status < 300 && head!.stamp !== '';
+        // A success without its stamp is none, whoever may have run it.
+        if (status < 300 && head!.stamp === '') return failed('a success without its stamp', true, 0);
         directory.ended(sampler.id, status < 500 ? now() - began : undefined, status < 500 ? 0 : 50);
         const answer: Attempted = { kind: 'answered', status, raw, head: head!, body: Buffer.concat(chunks) };
-        if (fine || (status >= 300 && status < 500) || !rules.repeatable || !rules.retryFaults) return finish(answer);
+        if (status < 500 || !rules.repeatable || !rules.retryFaults) return finish(answer);
         last = answer;
         next();
       },
@@ -153,7 +154,7 @@
       const after = Math.max(rules.aimMs * hedgeShare, 0);
       if (after < left())
         hedge = setTimeout(() => {
-          if (!over && open.size === 1) send();
+          if (!over && open.size === 1 && sends < rules.most) send();
         }, after);
     }
     return true;
--- a/src/fleet/front/frontProgram.ts
+++ b/src/fleet/front/frontProgram.ts
@@ -101,7 +101,14 @@
       });
       message.on('error', () => undefined);
       message.on('end', () => {
-        if (size <= most) route(message, response, chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks), now());
+        if (size > most) return;
+        try {
+          route(message, response, chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks), now());
+        } catch (cause) {
+          log.event('request_failed', { url: message.url, reason: String(cause) });
+          const { attempt } = dialect.ask(message.headers);
+          ordinaryAsks.send(response, dialect.refusal(500, attempt, undefined, 'an error of this front'), leaving);
+        }
       });
     },
   );
--- a/src/fleet/front/itemRun.ts
+++ b/src/fleet/front/itemRun.ts
@@ -48,6 +48,7 @@
   let over = false;
   let heardAt = now();
   let fresh = 0;
+  let tail = '\n\n';
 
   const kept = (): Partial | undefined =>
     events.length === 0 || lastId === undefined || (single && versions.size > 1)
@@ -67,7 +68,7 @@
     onEvent: ({ id, data }) => {
       if (over) return;
       const event = dialect.event(id, data);
-      if (lastId === undefined ? event.id > 1 : event.id !== lastId + 1)
+      if (!Number.isInteger(event.id) || (lastId === undefined ? event.id > 1 : event.id !== lastId + 1))
         return spoilt(`event ${event.id} after ${lastId}`);
       if (event.version !== undefined) {
         version = event.version;
@@ -96,10 +97,14 @@
     },
     data: (chunk) => {
       heardAt = now();
-      if (status === 200 && !over) parser.feed(chunk as string);
+      if (status !== 200 || over) return;
+      tail = `${tail}${chunk as string}`.slice(-4);
+      parser.feed(chunk as string);
     },
     ended: () => {
-      if (status === 200 && events.length > 0)
+      if (status === 200 && !/(\r\n|\n|\r){2}$/.test(tail))
+        finish({ kind: 'cut', partial: kept(), reason: 'ended inside an event', suspect: true });
+      else if (status === 200 && events.length > 0)
         finish({ kind: 'whole', text: events.join('\n'), versions: [...versions] });
       else if (notRun) finish({ kind: 'notRun', status });
       else if (status === 422) finish({ kind: 'never' });
--- a/src/fleet/samplerClient.ts
+++ b/src/fleet/samplerClient.ts
@@ -1,4 +1,5 @@
 import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
 import type { SamplerCall } from './dialect.js';
 
 /** What becomes of one call, told as it happens; exactly one of `ended` and `failed` comes last. */
@@ -30,6 +31,10 @@
 };
 
 const connectMs = 700;
+
+function dropped(this: Socket): void {
+  this.destroy();
+}
 const lateReason = 'no answer in time';
 
 /** Makes a process's client; a connection on which anything was odd is never used again. */
@@ -46,6 +51,8 @@
       maxFreeSockets: channelsMost,
       scheduling: 'lifo',
     });
+    // Bytes on an idle connection belong to no request: it goes.
+    agent.on('free', (socket: Socket) => void socket.on('data', dropped));
     agents.set(address, agent);
     return agent;
   };
@@ -64,7 +71,7 @@
         clearTimeout(connecting);
         return true;
       };
-      const sent: ClientRequest = request({
+      const asked = {
         host: address.slice(0, colon),
         port: Number(address.slice(colon + 1)),
         method,
@@ -72,13 +79,24 @@
         headers,
         agent: agentOf(address),
         setHost: false,
-      });
+      };
+      const timer = setTimeout(() => fail(lateReason), Math.max(1, timeLeftMs));
+      let sent: ClientRequest;
+      try {
+        sent = request(asked);
+      } catch (cause) {
+        clearTimeout(timer);
+        setImmediate(() => {
+          if (finish()) events.failed((cause as Error).message, false, false);
+        });
+        return { abort: () => void finish() };
+      }
       const fail = (reason: string): void => {
         if (finish()) events.failed(reason, connected, reused && !begun && reason !== lateReason);
         sent.destroy();
       };
-      const timer = setTimeout(() => fail(lateReason), Math.max(1, timeLeftMs));
       sent.on('socket', (socket) => {
+        socket.off('data', dropped);
         if (!socket.connecting) {
           connected = true;
           reused = true;
--- a/src/fleet/store/lotCopies.ts
+++ b/src/fleet/store/lotCopies.ts
@@ -15,7 +15,7 @@
   readonly origin: ReadonlyArray<LeaderBallot>;
   /** How many entries each copy holds under this ballot; -1 where that is not known. */
   readonly match: Map<string, number>;
-  /** How many entries were found when the leading began; before they all stand again, nothing may be said of the lot. */
+  /** How many entries were found when the leading began; until they all stand again, nothing may be handed out. */
   readonly found: number;
   /** How many entries a majority holds. */
   chosen: number;
