--- a/src/fleet/front/frontProgram.ts
+++ b/src/fleet/front/frontProgram.ts
@@ -139,12 +139,14 @@
       follower.tell();
       const items = desks.leave(1500);
       const most = settings.bounds.graceMs - 1200;
-      await new Promise((resolve) => setTimeout(resolve, readyWaitMs));
+      await new Promise((resolve) => setTimeout(resolve, Math.min(readyWaitMs, settings.bounds.graceMs * 0.3)));
       server.close();
       server.closeIdleConnections();
       await items;
       while (inFlight > 0 && now() - begun < most) await new Promise((resolve) => setTimeout(resolve, 30));
       follower.stop();
+      readiness.close();
+      client.close();
       log.event('stopped', { inFlight });
     },
   };
--- a/src/fleet/samplerClient.ts
+++ b/src/fleet/samplerClient.ts
@@ -27,6 +27,8 @@
   readonly idle: (address: string) => boolean;
   /** Closes the idle connections to an address that is not used any more. */
   readonly forget: (address: string) => void;
+  /** Closes all connections. */
+  readonly close: () => void;
   readonly counts: () => { readonly calls: number; readonly connections: number };
 };
 
@@ -141,6 +143,9 @@
       agents.get(address)?.destroy();
       agents.delete(address);
     },
+    close: () => {
+      for (const agent of agents.values()) agent.destroy();
+    },
     counts: () => ({ calls, connections }),
   };
 };
--- a/src/tests/orders.test.ts
+++ b/src/tests/orders.test.ts
@@ -240,6 +240,7 @@
       },
       idle: () => true,
       forget: () => undefined,
+      close: () => undefined,
       counts: () => ({ calls: sent.length, connections: 0 }),
     };
     const call = (_address: string, name: string): Promise<unknown> => {
