Calls deflated where long; loads by the samplers' share; fewer connections and wakes

Connections cost 2.5 in the choice of a sampler instead of 1.5; desks are woken for an item that comes back only where nothing waited. The channels test read bodies as plain JSON and now unpacks them, as strictly.

--- a/src/edge/channels.ts
+++ b/src/edge/channels.ts
@@ -5,6 +5,7 @@
 import { answers } from '../shared/answers.js';
 import { Fault } from '../shared/fault.js';
 import { slab, type Slab } from '../shared/slab.js';
+import { packing } from './packing.js';
 
 type Waiting = { readonly done: (answer: Answer) => void; readonly failed: (fault: Fault) => void };
 type Channel = { readonly socket: Socket; readonly pending: Slab<Waiting>; heardAt: number; unsent: Buffer[] };
@@ -170,9 +171,9 @@
       }),
     ask,
     call: async (address, name, body, timeLeftMs) => {
-      const asked = answers.ask({ case: 'call', value: { name, body: Buffer.from(JSON.stringify(body ?? null)) } });
+      const asked = answers.ask({ case: 'call', value: { name, ...packing.pack(body) } });
       const { kind } = await ask(address, asked, timeLeftMs);
-      if (kind.case === 'call') return JSON.parse(Buffer.from(kind.value.body).toString()) as unknown;
+      if (kind.case === 'call') return packing.unpack(kind.value);
       const reason = kind.case === 'bounce' ? kind.value.reason : 'odd answer';
       throw new Fault({ step: name, cohortMember: address, reason });
     },
--- a/src/fleet/core/loadPermits.ts
+++ b/src/fleet/core/loadPermits.ts
@@ -8,6 +8,9 @@
   readonly leftMs: number;
   readonly runMs: number;
   readonly slots: number;
+  /** How many samplers the service has, and how many models share them. */
+  readonly samplers: number;
+  readonly models: number;
 };
 
 /** Says which samplers load new weights: few at once, and no more of them than the waiting work needs. */
@@ -16,10 +19,10 @@
   readonly done: (load: Pick<LoadWish, 'sampler' | 'model' | 'version'>) => Record<string, never>;
 };
 
-const atOnce = 2;
+/** Loads slow down when too many run; this share of a service's samplers, and two at least, was well. */
+const atOnceShare = 0.25;
+const atOnceLeast = 2;
 const underMs = 1800;
-/** Loads up to this many samplers are free where all trainers share alike. */
-const least = 2;
 const spareShare = 0.4;
 const grantedMs = 60_000;
 
@@ -36,6 +39,9 @@
       const entry = granted.get(key) ?? { samplers: new Set<string>(), at };
       const time = Math.max(300, wish.leftMs * spareShare);
       const need = Math.ceil((wish.items * wish.runMs) / (Math.max(1, wish.slots) * time));
+      // As many loads are free as there are samplers for one trainer, where all share alike.
+      const least = Math.max(2, Math.floor(wish.samplers / Math.max(1, wish.models)));
+      const atOnce = Math.max(atOnceLeast, Math.floor(wish.samplers * atOnceShare));
       const enough = entry.samplers.size >= Math.max(least, need) && !entry.samplers.has(wish.sampler);
       if (enough || (under.size >= atOnce && !under.has(wish.sampler))) return { granted: false };
       entry.samplers.add(wish.sampler);
--- a/src/fleet/front/desks.ts
+++ b/src/fleet/front/desks.ts
@@ -187,6 +187,8 @@
       items: advert.needed,
       leftMs: Math.max(300, leftMs),
       runMs: runMs.get(advert.model) ?? 500,
+      samplers: directory.of(desk.sampler.service).length,
+      models: Object.keys(desk.sampler.models).length,
     });
   };
   const fill = (): void => {
--- a/src/fleet/front/samplerDirectory.ts
+++ b/src/fleet/front/samplerDirectory.ts
@@ -19,7 +19,7 @@
 const freshMs = 30;
 const foreignCost = 1.25;
 const quietCost = 4;
-const connectCost = 1.5;
+const connectCost = 2.5;
 /** A sampler that fails part of its requests costs more, as its share of faults of late has it. */
 const faultCost = 8;
 const faultSlowdown = 0.1;
--- a/src/fleet/serveCalls.ts
+++ b/src/fleet/serveCalls.ts
@@ -1,4 +1,5 @@
 import type { Channels } from '../edge/channels.js';
+import { packing } from '../edge/packing.js';
 import type { Answer, Ask } from '../gen/foxdeck_pb.js';
 import { answers } from '../shared/answers.js';
 import type { ProgramTools } from './program.js';
@@ -14,17 +15,17 @@
   channels.serve(address, (ask, reply) => {
     if (ask.kind.case !== 'call')
       return others ? others(ask, reply) : reply(answers.bounce('ask', 'not answered here'));
-    const { name, body } = ask.kind.value;
+    const { name } = ask.kind.value;
     const bounced = (cause: unknown): void => {
       const reason = cause instanceof Error ? cause.message : String(cause);
       if (!(cause instanceof Error && '_tag' in cause)) log.event('call_failed', { call: name, reason });
       reply(answers.bounce(name, reason));
     };
     try {
-      const work = handle(name, JSON.parse(Buffer.from(body).toString()) as unknown);
+      const work = handle(name, packing.unpack(ask.kind.value));
       if (!work) return reply(answers.bounce(name, 'not answered here'));
       work.then((value) => {
-        reply(answers.answer({ case: 'call', value: { body: Buffer.from(JSON.stringify(value ?? null)) } }));
+        reply(answers.answer({ case: 'call', value: packing.pack(value) }));
       }, bounced);
     } catch (cause) {
       bounced(cause);
--- a/src/fleet/store/storeDesk.ts
+++ b/src/fleet/store/storeDesk.ts
@@ -200,12 +200,14 @@
     const { state } = led;
     if (state.ended || !state.body || state.listed.has(each.id)) return 'ok';
     const board = boardOf(led);
+    const idle = board?.waiting() === 0;
     const faults = each.result ? 0 : (board?.back(each.id, front, each.partial, each.fault === true) ?? 0);
     const given = each.never === true || (each.fault === true && faults >= state.body.attempts);
     const result: LotResult | undefined =
       each.result ?? (given ? { id: each.id, state: 'abandoned', text: '', versions: [], rating: '' } : undefined);
     if (!result) {
-      bump();
+      // Desks ask again soon by themselves; only where nothing waited must they be told.
+      if (idle) bump();
       return 'ok';
     }
     try {
--- a/src/tests/channels.test.ts
+++ b/src/tests/channels.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, beforeEach, describe, expect, jest, test } from '@jest/globals';
 import fc from 'fast-check';
 import { makeChannels, type AskServer, type Channels } from '../edge/channels.js';
+import { packing, type Packed } from '../edge/packing.js';
 import type { Answer } from '../gen/foxdeck_pb.js';
 import { answers } from '../shared/answers.js';
 import type { Fault } from '../shared/fault.js';
@@ -26,12 +27,11 @@
   return addressOf(server);
 };
 const serving = async (server: AskServer): Promise<string> => addressOf(await channels().serve('127.0.0.1:0', server));
-const textOf = (body: Uint8Array): string => JSON.parse(Buffer.from(body).toString()) as string;
-const answerOf = (value: unknown): Answer =>
-  answers.answer({ case: 'call', value: { body: Buffer.from(JSON.stringify(value)) } });
+const textOf = (call: Packed): string => packing.unpack(call) as string;
+const answerOf = (value: unknown): Answer => answers.answer({ case: 'call', value: packing.pack(value) });
 /** A peer that answers what a call's body says, with its name before it. */
 const echo: AskServer = (ask, reply) => {
-  if (ask.kind.case === 'call') reply(answerOf(`${ask.kind.value.name} ${textOf(ask.kind.value.body)}`));
+  if (ask.kind.case === 'call') reply(answerOf(`${ask.kind.value.name} ${textOf(ask.kind.value)}`));
 };
 /** Hands bytes on in pieces of the given sizes, one piece a turn. */
 const pieces = (from: Socket, to: Socket, sizes: ReadonlyArray<number>): void => {
@@ -181,7 +181,7 @@
     const held: Array<{ readonly body: string; readonly reply: () => void }> = [];
     const address = await serving((ask, reply) => {
       if (ask.kind.case !== 'call') return;
-      const body = textOf(ask.kind.value.body);
+      const body = textOf(ask.kind.value);
       held.push({ body, reply: () => reply(answerOf(`to ${body}`)) });
     });
     const client = channels();
--- a/src/tests/orders.test.ts
+++ b/src/tests/orders.test.ts
@@ -57,6 +57,8 @@
     leftMs: 10_000,
     runMs: 100,
     slots: 4,
+    samplers: 6,
+    models: 3,
     ...more,
   });
   const step = fc.record({
@@ -228,7 +230,7 @@
     models: { m: 1 },
     born: 1,
   };
-  const wish = { model: 'm', version: 2, items: 1, leftMs: 5000, runMs: 100 };
+  const wish = { model: 'm', version: 2, items: 1, leftMs: 5000, runMs: 100, samplers: 6, models: 3 };
   const make = (permit: () => unknown = () => ({ granted: true })) => {
     const state = { lease: { fence: 7, until: Infinity } as { fence: number; until: number } | undefined, leases: 0 };
     const sent: Array<{ readonly order: unknown; readonly events: CallEvents }> = [];
