--- a/src/fleet/store/journal.ts
+++ b/src/fleet/store/journal.ts
@@ -76,6 +76,13 @@
       found(known);
     });
     segments.push(segment);
+    // What an earlier life wrote without a sync may be read here and still go with the power: it is made to last first.
+    const opened = await files.open(join(folder, name), 'r+');
+    try {
+      await opened.datasync();
+    } finally {
+      await opened.close();
+    }
   }
   let handle: Handle | undefined;
   let queue: Entry[] = [];
--- a/src/fleet/store/lotBoard.ts
+++ b/src/fleet/store/lotBoard.ts
@@ -165,8 +165,9 @@
     back: (id, front, partial, fault) => {
       const seat = seats.get(id);
       if (!seat) return 0;
+      if (seat.state !== 'out' || seat.front !== front) return seat.faults;
       if (fault) seat.faults += 1;
-      if (seat.state === 'out' && seat.front === front) freed(seat, partial);
+      freed(seat, partial);
       return seat.faults;
     },
     claim: (id, front, sampler) => {
--- a/src/fleet/store/lotLeader.ts
+++ b/src/fleet/store/lotLeader.ts
@@ -71,7 +71,11 @@
   const lead: LotLeader['lead'] = async (lot, { force, make }) => {
     const led = ledLots.get(lot);
     const under = taking.get(lot);
-    if (under) return under;
+    if (under) {
+      const taken = await under;
+      // Whoever only asked found no such lot; whoever hands it in makes it.
+      return 'unknown' in taken && make ? lead(lot, { force, make }) : taken;
+    }
     if (led) return led;
     const candidates = copies.of(lot).map((each) => each.name);
     if (!candidates.includes(self.name)) {
@@ -83,8 +87,6 @@
     const known = promised !== undefined && candidates.includes(promised) && copies.alive(promised);
     const first = known ? promised : candidates.find(copies.alive);
     if ((!force || options.leaving()) && first !== undefined && first !== self.name) return { moved: first };
-    const again = taking.get(lot);
-    if (again) return again;
     const work = take(lot, make).finally(() => taking.delete(lot));
     taking.set(lot, work);
     return work;
--- a/src/fleet/store/lotReplica.ts
+++ b/src/fleet/store/lotReplica.ts
@@ -26,6 +26,8 @@
   readonly lot: string;
   readonly ballot: LeaderBallot;
   readonly stamp: number;
+  /** The epoch at which the lot was made by this leader: all of it was written to the sets of that view. */
+  readonly born?: number;
   readonly entries: ReadonlyArray<{ readonly i: number; readonly v: LotValue }>;
 };
 
@@ -77,23 +79,43 @@
         throw fault;
       });
     };
+    /** After a write that failed, what memory says is written again before anything more is answered for. */
+    const mend = async (lot: string): Promise<void> => {
+      const log = logs.get(lot);
+      if (!log?.dirty) return;
+      log.dirty = false;
+      const again = (record: ReplicaRecord): Promise<void> => journal.append(lot, record);
+      try {
+        await Promise.all([
+          again({ lot, k: 'p', b: log.promised }),
+          again({ lot, k: 'z', e: log.settled }),
+          ...log.entries.map((entry, i) => again({ lot, k: 'e', b: entry.ballot, i, v: entry.value })),
+        ]);
+      } catch (fault) {
+        log.dirty = true;
+        throw fault;
+      }
+    };
     return {
       logs,
       prepare: async (lot, ballot) => {
+        await mend(lot);
         const promised = logs.get(lot)?.promised ?? none;
         if (compare(ballot, promised) < 0) return false;
         await note({ lot, k: 'p', b: ballot });
         return compare(ballot, logs.get(lot)?.promised ?? none) === 0;
       },
-      append: async ({ lot, ballot, stamp, entries }) => {
+      append: async ({ lot, ballot, stamp, born, entries }) => {
+        await mend(lot);
         const log = logs.get(lot);
         if (log && compare(ballot, log.promised) < 0) return false;
         const length = log?.entries.length ?? 0;
         if (stamp > length || entries.some(({ i }, place) => i > length + place)) return false;
         const lasting: Array<Promise<void>> = [];
         const old = (entry: { readonly ballot: LeaderBallot }): boolean => compare(entry.ballot, ballot) !== 0;
-        if (stamp > 0 && (log!.dirty || log!.entries.slice(0, stamp).some(old)))
+        if (stamp > 0 && log!.entries.slice(0, stamp).some(old))
           lasting.push(note({ lot, k: 's', b: ballot, n: stamp }));
+        if (born !== undefined && length === 0) lasting.push(note({ lot, k: 'z', e: born }));
         for (const { i, v } of entries) lasting.push(note({ lot, k: 'e', b: ballot, i, v }));
         await Promise.all(lasting);
         return true;
--- a/src/fleet/store/lotSync.ts
+++ b/src/fleet/store/lotSync.ts
@@ -30,7 +30,14 @@
     bytes += sizeOf(v);
     entries.push({ i, v });
   }
-  return { lot: led.lot, ballot: led.ballot, stamp: matched, entries, bytes };
+  return {
+    lot: led.lot,
+    ballot: led.ballot,
+    stamp: matched,
+    ...(led.born !== undefined && { born: led.born }),
+    entries,
+    bytes,
+  };
 };
 
 /** Makes the sync of one store's led lots: one batch under way for each copy, whatever it lacks of all lots. */
@@ -81,8 +88,9 @@
       const matched = led.match.get(key);
       if (matched === undefined || matched >= led.values.length || bytes > partBytes) continue;
       if (matched < 0) {
+        const askedAt = now();
         const info = (await copies.call(voter, 'lot.prepare', { lot: led.lot, ballot: led.ballot })) as Prepared;
-        if (!answered(led, voter, info, now())) continue;
+        if (!answered(led, voter, info, askedAt)) continue;
         led.match.set(key, lotTakeover.sameLength(led, info.ballots));
       }
       const part = partFor(led, led.match.get(key)!);
--- a/src/fleet/store/lotTakeover.ts
+++ b/src/fleet/store/lotTakeover.ts
@@ -104,6 +104,7 @@
     origin,
     match: new Map(),
     found: values.length,
+    born: length === 0 ? options.view().epoch : undefined,
     chosen: 0,
     state: lotState.fresh(),
     confirmedAt: askedAt,
--- a/src/fleet/store/storeDesk.ts
+++ b/src/fleet/store/storeDesk.ts
@@ -105,6 +105,14 @@
   const leading = async (lot: string, force: boolean): Promise<Led | { moved: string } | { unknown: true }> =>
     options.leader().lead(lot, { force, make: false });
 
+  /** Whether the lot is there; a leader that knows of none says so only while nobody else may lead. */
+  const there = async (led: Led): Promise<boolean> => {
+    if (led.state.body) return true;
+    const none = led.values.length === 0 && (await options.leader().confirm(led)) && led.values.length === 0;
+    if (!none && !led.state.body) throw new Fault({ step: 'find lot', reason: `${led.lot} is being written` });
+    return led.state.body !== undefined;
+  };
+
   type Asked = { readonly lot: string; readonly force: boolean };
   const create = async ({ lot, force, body }: Asked & { body: LotBody }): Promise<unknown> => {
     const led = await options.leader().lead(lot, { force, make: true });
@@ -117,7 +125,7 @@
     const start = now();
     const led = await leading(lot, force);
     if (!('state' in led)) return led;
-    if (!led.state.body) return { unknown: true };
+    if (!(await there(led))) return { unknown: true };
     boardOf(led);
     const { results } = led.state;
     if (results.length <= after && !led.state.ended && waitMs > 0)
@@ -137,17 +145,19 @@
       some.push(results[at]!);
       bytes += results[at]!.text.length * 1.1 + 300;
     }
-    return { total: led.state.body.items.length, results: some };
+    return { total: led.state.body!.items.length, results: some };
   };
   const item = async ({ lot, force, id }: Asked & { id: string }): Promise<unknown> => {
     const led = await leading(lot, force);
     if (!('state' in led)) return led;
+    if (!(await there(led))) return { unknown: true };
     const found = led.state.body?.items.find((each) => each.id === id);
     return found ? { body: found.body } : { unknown: true };
   };
   const end = async ({ lot, force }: Asked): Promise<unknown> => {
     const led = await leading(lot, force);
     if (!('state' in led)) return led;
+    if (!(await there(led))) return { unknown: true };
     if (!led.state.ended) await options.leader().propose(led, { kind: 'end' });
     return { ended: true };
   };
