Token budget at the desk: admit on fit, pause the lowest; settings read again

The design's rules on the desk: footprints derived from prompts (a group's counted once) and events, admission only while the average item fits under nine tenths of the cache, the lowest item paused over it, nearly complete groups last, resumed first where its prefix is. Seeds of a settings file that changes, with a signal or without, are followed at once.

--- a/src/fleet/core/coreProgram.ts
+++ b/src/fleet/core/coreProgram.ts
@@ -239,6 +239,10 @@
   }
   log.event('started', { role: 'core', disk: disk.id, sequence: register.known()?.sequence ?? 0 });
   return {
+    reload: ({ seeds }) => {
+      log.event('settings_read', { seeds: seeds.join(',') });
+      follower.reseed(seeds);
+    },
     stop: async () => {
       state = 'leaving';
       follower.tell();
--- a/src/fleet/fleetTypes.ts
+++ b/src/fleet/fleetTypes.ts
@@ -92,6 +92,8 @@
   readonly channelsMost: number;
   readonly model: boolean;
   readonly cacheTokens: number;
+  /** Tokens in one event. */
+  readonly stride: number;
   readonly models: ReadonlyArray<string>;
 };
 
@@ -135,7 +137,9 @@
   readonly headers: Readonly<Record<string, string>>;
   /** Base64. */
   readonly body: string;
+  /** Tokens of the prompt and the most that may come out, summed; and those of the prompt alone. */
   readonly tokens: number;
+  readonly prompt: number;
   readonly group: string;
   readonly rating?: { readonly id: string; readonly host: string; readonly path: string; readonly body: string };
 };
@@ -191,6 +195,9 @@
   readonly item: LotItem;
   readonly single: boolean;
   readonly minVersion: number;
+  /** By the design's weights, and whether three quarters of its group are done. */
+  readonly priority: number;
+  readonly near: boolean;
   readonly partial?: Partial;
 };
 
@@ -206,6 +213,8 @@
   /** Items of groups that the trainer waits for, and of groups beyond those. */
   readonly needed: number;
   readonly spare: number;
+  /** Tokens of a prompt, on the average. */
+  readonly prompt: number;
   /** How long the front may start sends for this lot. */
   readonly leaseMs: number;
 };
--- a/src/fleet/follow.ts
+++ b/src/fleet/follow.ts
@@ -37,6 +37,8 @@
   readonly heard: () => boolean;
   /** Called after each change of the snapshot, with what changed. */
   readonly onChange: (listener: (before: FleetView, after: FleetView) => void) => void;
+  /** Follows these cores too, from now on. */
+  readonly reseed: (seeds: ReadonlyArray<string>) => void;
   readonly stop: () => void;
 };
 
@@ -138,7 +140,7 @@
         } catch {
           faults += 1;
           const listed = [...state.get().members.values()].some((member) => member.peer === address);
-          if (!listed && !options.seeds.includes(address) && faults > 8) break;
+          if (!listed && !seeds.includes(address) && faults > 8) break;
           if (cores.has(address) && now() - cores.get(address)!.heardAt > staleMs) publish(followed);
           await new Promise((resolve) => setTimeout(resolve, pauseMs * Math.min(4, faults)));
         }
@@ -147,7 +149,8 @@
       cores.delete(address);
     })();
   };
-  for (const seed of options.seeds) run(seed);
+  let seeds = options.seeds;
+  for (const seed of seeds) run(seed);
   return {
     view: state.get,
     heard: () => cores.size > 0,
@@ -156,6 +159,10 @@
       const body = { self: options.self() };
       for (const address of cores.keys()) void channels.call(address, 'news.tell', body, 800).catch(() => undefined);
     },
+    reseed: (next) => {
+      seeds = next.filter((seed) => seed !== options.self().peer);
+      for (const seed of seeds) run(seed);
+    },
     stop: () => {
       stopped = true;
     },
--- a/src/fleet/front/desks.ts
+++ b/src/fleet/front/desks.ts
@@ -6,11 +6,13 @@
 import type { SamplerClient } from '../samplerClient.js';
 import type { ItemWord, WatchAnswer } from '../store/storeDesk.js';
 import { traffic } from '../traffic.js';
-import { runItem, type ItemRun, type RunEnd } from './itemRun.js';
+import { runItem, type RunEnd } from './itemRun.js';
 import type { SamplerDirectory } from './samplerDirectory.js';
 import type { StoreCalls } from './storeCalls.js';
 import type { OrderLease } from './orderLease.js';
 import { makeWeightLoads } from './weightLoads.js';
+import type { Desk, Known, Running } from './deskTypes.js';
+import { budget, type Running as Reckoned } from './budget.js';
 import { makeRatings } from './ratings.js';
 import { makeWords } from './words.js';
 
@@ -21,27 +23,14 @@
   readonly counts: () => { readonly owned: number; readonly running: number; readonly rating: number };
 };
 
-type Running = {
-  readonly grant: Grant;
-  readonly sampler: Sampler;
-  run: ItemRun | undefined;
-  cancel: (() => void) | undefined;
-};
-type Desk = {
-  sampler: Sampler;
-  readonly running: Set<string>;
-  pulling: number;
-  blockedUntil: number;
-  readonly modelBlocked: Map<string, number>;
-  readonly learnt: Map<string, number>;
-};
-type Known = { readonly advert: Advert; readonly store: string; readonly at: number; needed: number; spare: number };
-
 const watchMs = 2500;
 const fillMs = 4;
 const suspectMs = 900;
 const turnedAwayMs = 60;
 
+const averaged = (known: number | undefined, seen: number): number =>
+  known === undefined ? seen : known + 0.1 * (seen - known);
+
 /** Makes a front's desks. */
 export const makeDesks = (options: {
   readonly name: string;
@@ -63,6 +52,8 @@
   const watching = new Set<string>();
   /** How long an item of each model runs, on the average of late. */
   const runMs = new Map<string, number>();
+  /** How many tokens an item of each model makes. */
+  const madeTokens = new Map<string, number>();
   let leaving = false;
   const keyOf = (lot: string, id: string): string => `${lot} ${id}`;
 
@@ -116,12 +107,13 @@
 
   const ended = (key: string, entry: Running, desk: Desk, model: string, began: number, end: RunEnd): void => {
     const { lot, item } = entry.grant;
+    const made = averaged(madeTokens.get(model), entry.run?.made() ?? 0);
     entry.run = undefined;
     desk.running.delete(key);
     schedule();
     if (end.kind === 'whole') {
-      const known = runMs.get(model);
-      runMs.set(model, known === undefined ? now() - began : known + 0.1 * (now() - began - known));
+      runMs.set(model, averaged(runMs.get(model), now() - began));
+      madeTokens.set(model, made);
       directory.ended(desk.sampler.id, undefined, 0);
       return rate(key, entry, end.text, end.versions);
     }
@@ -168,7 +160,7 @@
     entry.run = runItem(
       options,
       grant,
-      { sampler: desk.sampler, model, version, urgency: 5, stride: 50 },
+      { sampler: desk.sampler, model, version, urgency: 5, stride: serviceOf(desk)?.stride ?? 1 },
       (end) => ended(key, entry, desk, model, began, end),
       (seen) => {
         if (seen > (desk.learnt.get(model) ?? 0)) desk.learnt.set(model, seen);
@@ -177,6 +169,27 @@
     );
   };
 
+  const serviceOf = (desk: Desk) =>
+    view().followed?.traffic?.services.find((service) => service.name === desk.sampler.service);
+  const reckoned = (desk: Desk): ReadonlyArray<Reckoned> =>
+    [...desk.running].flatMap((key) => {
+      const entry = items.get(key);
+      if (!entry?.run) return [];
+      const { lot, item, priority, near } = entry.grant;
+      const group = `${lot} ${item.group}`;
+      return [{ key, group, prompt: item.prompt, made: entry.run.made(), priority, near }];
+    });
+  /** Pauses what a sampler holds too much of, the lowest first; it goes on later, here first. */
+  const pause = (desk: Desk): void => {
+    const lowest = budget.victim(serviceOf(desk)?.cacheTokens ?? 0, reckoned(desk));
+    const entry = lowest && items.get(lowest.key);
+    if (!entry) return;
+    const partial = stopRun(entry);
+    const { lot, item } = entry.grant;
+    options.event('item_paused', { item: item.id, sampler: desk.sampler.id, priority: entry.grant.priority });
+    say(lowest.key, { lot, id: item.id, ...(partial && { partial }) });
+  };
+
   const wishFor = (desk: Desk, { advert, at: heard }: Known, at: number): void => {
     const version = view().followed?.models[advert.model] ?? 1;
     if (version < advert.minVersion || !(advert.model in desk.sampler.models)) return;
@@ -208,6 +221,8 @@
       let free = desk.sampler.slots - desk.running.size - desk.pulling;
       if (free <= 0 || desk.sampler.state !== 'ready' || at < desk.blockedUntil || !directory.usable(desk.sampler.id))
         continue;
+      const cacheTokens = serviceOf(desk)?.cacheTokens ?? 0;
+      const held = cacheTokens > 0 ? reckoned(desk) : [];
       for (const spare of [false, true])
         for (const entry of lots) {
           const wanted = spare ? entry.spare : entry.needed;
@@ -223,7 +238,10 @@
           const binding = traffic.match(view().followed?.traffic, advert.host, advert.path);
           if (!binding?.shares.some((share) => share.weight > 0 && share.service === desk.sampler.service)) continue;
           // While a version is being loaded, one item tells whether it is there.
-          const most = Math.min(free, wanted, coming === undefined ? free : 1);
+          const footprint = advert.prompt + (madeTokens.get(advert.model) ?? 0);
+          const room = budget.fits(cacheTokens, held, footprint) - desk.pulling;
+          const most = Math.min(free, wanted, room, coming === undefined ? free : 1);
+          if (most <= 0) continue;
           if (coming !== undefined) desk.modelBlocked.set(advert.model, at + turnedAwayMs);
           if (spare) entry.spare -= most;
           else entry.needed -= most;
@@ -355,6 +373,7 @@
     schedule();
   };
   const ticking = setInterval(() => {
+    for (const desk of desks.values()) pause(desk);
     if (desks.size > 0) schedule();
   }, 60);
 
--- a/src/fleet/front/frontProgram.ts
+++ b/src/fleet/front/frontProgram.ts
@@ -133,6 +133,10 @@
   await listening(server, settings.listen.front!);
   log.event('started', { role: 'front' });
   return {
+    reload: ({ seeds }) => {
+      log.event('settings_read', { seeds: seeds.join(',') });
+      follower.reseed(seeds);
+    },
     stop: async () => {
       const begun = now();
       leaving = true;
--- a/src/fleet/front/itemRun.ts
+++ b/src/fleet/front/itemRun.ts
@@ -17,7 +17,8 @@
 export type ItemRun = {
   /** Breaks it off; answers what there is of its text. Nothing is told any more. */
   readonly stop: () => Partial | undefined;
-  readonly tokens: () => number;
+  /** Tokens that it made, here and before. */
+  readonly made: () => number;
 };
 
 const silentMs = 1300;
@@ -47,7 +48,6 @@
   let notRun = false;
   let over = false;
   let heardAt = now();
-  let fresh = 0;
   let tail = '\n\n';
 
   const kept = (): Partial | undefined =>
@@ -79,7 +79,6 @@
       if (single && versions.size > 1) return spoilt('a second version in one text');
       lastId = event.id;
       events.push(event.data);
-      fresh += 1;
     },
   });
   const call = dialect.itemCall(item, grant.host, { ...how, partial });
@@ -126,6 +125,6 @@
       open.abort();
       return kept();
     },
-    tokens: () => item.tokens + fresh * how.stride,
+    made: () => events.length * how.stride,
   };
 };
--- a/src/fleet/store/lotBoard.ts
+++ b/src/fleet/store/lotBoard.ts
@@ -41,6 +41,7 @@
 
 const heldMs = 400;
 /** Weights of the design: finished fraction, running, context for each 1,000 tokens. */
+const nearShare = 0.75;
 const weights = { finished: 100, running: 10, perThousand: 1 };
 
 const priorityOf = (group: Group): number =>
@@ -112,6 +113,8 @@
       item: seat.item,
       single: body.single,
       minVersion: body.minVersion,
+      priority: priorityOf(group),
+      near: group.listed >= nearShare * group.seats.length,
       ...(partial && { partial }),
     };
   };
--- a/src/fleet/store/storeDesk.ts
+++ b/src/fleet/store/storeDesk.ts
@@ -37,6 +37,9 @@
 const endedKeptMs = 20_000;
 const readBytes = 700_000;
 
+const promptsOf = (body: LotBody): number =>
+  body.items.reduce((sum, item) => sum + item.prompt, 0) / Math.max(1, body.items.length);
+
 type Open = { readonly board: LotBoard; wasWaiting: boolean };
 
 /** Makes the desk over a store's leading. */
@@ -93,6 +96,7 @@
       single: body.single,
       leftMs: body.dueMs - Math.min(passed, 10 * body.dueMs),
       ...board.counts(),
+      prompt: Math.round(promptsOf(body)),
       leaseMs: Math.max(0, Math.round(led.confirmedAt + leaseMs - now())),
     };
   };
--- a/src/fleet/store/storeProgram.ts
+++ b/src/fleet/store/storeProgram.ts
@@ -84,6 +84,10 @@
     }, retireMs),
   ];
   return {
+    reload: ({ seeds }) => {
+      log.event('settings_read', { seeds: seeds.join(',') });
+      follower.reseed(seeds);
+    },
     stop: async () => {
       state = 'leaving';
       follower.tell();
--- a/src/tests/itemRun.test.ts
+++ b/src/tests/itemRun.test.ts
@@ -50,9 +50,11 @@
 const grantOf = (more: Partial<Grant>): Grant => ({
   lot: 'l',
   host: 'h',
-  item: { id: 'q', path: '/p', headers: {}, body: '', tokens: 10, group: 'g' },
+  item: { id: 'q', path: '/p', headers: {}, body: '', tokens: 10, prompt: 1, group: 'g' },
   single: false,
   minVersion: 0,
+  priority: 0,
+  near: false,
   ...more,
 });
 /** Starts a run at a sampler that answers by the script. */
@@ -264,7 +266,7 @@
   });
   test('by silence keeps what came', async () => {
     const { run, ends, done, seen } = await begin((ask) => write(ask, { pieces: pieces('a', 'b'), end: 'silence' }));
-    await turns.until(() => run.tokens() === 10 + 2 * 50);
+    await turns.until(() => run.made() === 2 * 50);
     expect(seen).toEqual([3]);
     jest.advanceTimersByTime(1000);
     expect(ends).toEqual([]);
@@ -273,7 +275,7 @@
   });
   test('by a stop is handed back and told no more', async () => {
     const { run, ends, asks } = await begin((ask) => write(ask, { pieces: pieces('a', 'b'), end: 'silence' }));
-    await turns.until(() => run.tokens() === 10 + 2 * 50);
+    await turns.until(() => run.made() === 2 * 50);
     expect(run.stop()).toEqual({ events: ['a', 'b'], lastId: 2, versions: [3], version: 3 });
     expect(run.stop()).toBeUndefined();
     await turns.until(() => asks[0]!.socket.destroyed);
--- a/src/tests/lotBoard.test.ts
+++ b/src/tests/lotBoard.test.ts
@@ -37,6 +37,7 @@
       headers: {},
       body: '',
       tokens: 100 * group,
+      prompt: 1,
       group: `g${group}`,
     })),
   ),
--- a/src/tests/lotRuns.ts
+++ b/src/tests/lotRuns.ts
@@ -43,6 +43,7 @@
     headers: {},
     body: '',
     tokens: 10,
+    prompt: 1,
     group: `g${at >> 1}`,
   })),
 });
--- a/src/tests/steward.test.ts
+++ b/src/tests/steward.test.ts
@@ -134,6 +134,7 @@
   channelsMost: 10,
   model: false,
   cacheTokens: 0,
+  stride: 1,
   models: [],
 });
 const declared = (version: number, bindings: ReadonlyArray<HostBinding>): Traffic => ({
