Two more faults of the lots' logs, found by simulated stores, and their kin

A record queued behind a write that failed was answered for although replay drops it; a copy that dropped a lot and came back into its set was never filled again. By reading: a dropped copy keeps its promise, a store with a view older than a lot drops nothing, entries found at a takeover count only under the new ballot, a lot is said to be taken only where its leader says so, a front counts a lease from its asking, readers that run out of time are forgotten.

--- a/src/fleet/front/desks.ts
+++ b/src/fleet/front/desks.ts
@@ -50,9 +50,8 @@
   const items = new Map<string, Running>();
   const known = new Map<string, Known>();
   const watching = new Set<string>();
-  /** How long an item of each model runs, on the average of late. */
+  /** How long an item of each model runs, and how many tokens it makes, on the average of late. */
   const runMs = new Map<string, number>();
-  /** How many tokens an item of each model makes. */
   const madeTokens = new Map<string, number>();
   let leaving = false;
   const keyOf = (lot: string, id: string): string => `${lot} ${id}`;
@@ -185,8 +184,8 @@
     const entry = lowest && items.get(lowest.key);
     if (!entry) return;
     const partial = stopRun(entry);
-    const { lot, item } = entry.grant;
-    options.event('item_paused', { item: item.id, sampler: desk.sampler.id, priority: entry.grant.priority });
+    const { lot, item, priority } = entry.grant;
+    options.event('item_paused', { item: item.id, sampler: desk.sampler.id, priority });
     say(lowest.key, { lot, id: item.id, ...(partial && { partial }) });
   };
 
@@ -267,13 +266,13 @@
     };
     if (!member) return over();
     try {
-      const body = { front: options.name, asks };
-      const heard = (await channels.call(member.peer, 'board.pull', body, 800)) as {
+      const asked = now();
+      const heard = (await channels.call(member.peer, 'board.pull', { front: options.name, asks }, 800)) as {
         readonly grants: ReadonlyArray<Grant & { sampler: string }>;
         readonly adverts: ReadonlyArray<Advert>;
       };
       over();
-      for (const advert of heard.adverts) note(advert, store);
+      for (const advert of heard.adverts) note(advert, store, asked);
       for (const grant of heard.grants) start(grant);
       if (heard.grants.length > 0) schedule();
     } catch {
@@ -288,8 +287,9 @@
     }, fillMs);
   };
 
-  const note = (advert: Advert, store: string): void => {
-    known.set(advert.lot, { advert, store, at: now(), needed: advert.needed, spare: advert.spare });
+  /** Counts from the time of asking: the answer may have lain here while this machine stood still. */
+  const note = (advert: Advert, store: string, asked: number): void => {
+    known.set(advert.lot, { advert, store, at: asked, needed: advert.needed, spare: advert.spare });
     options.stores.leads(advert.lot, store);
   };
   const watch = async (store: string): Promise<void> => {
@@ -317,7 +317,7 @@
         )) as WatchAnswer;
         revision = heard.revision;
         const there = new Set(heard.adverts.map((advert) => advert.lot));
-        for (const advert of heard.adverts) note(advert, store);
+        for (const advert of heard.adverts) note(advert, store, asked);
         for (const [lot, entry] of known)
           if (entry.store === store && !there.has(lot) && entry.at < asked) known.delete(lot);
         for (const lot of heard.ended) drop(lot);
--- a/src/fleet/front/lotAsks.ts
+++ b/src/fleet/front/lotAsks.ts
@@ -31,7 +31,10 @@
         return dialect.refusal(400, head.attempt, undefined, `${body[0]?.path}: ${body[0]?.message}`);
       try {
         const timeLeft = Math.max(200, Math.min(createMs, head.timeLeftMs - 50));
-        await stores.call(head.attempt, 'lot.create', { body }, timeLeft, createHopMs);
+        const answer = (await stores.call(head.attempt, 'lot.create', { body }, timeLeft, createHopMs)) as {
+          readonly taken?: boolean;
+        };
+        if (answer.taken !== true) return dialect.refusal(504, head.attempt, undefined, 'not said to be taken');
         options.event('lot_taken', { lot: head.attempt, items: body.items.length, step: body.step, model: body.model });
         return dialect.refusal(202, head.attempt, undefined, '');
       } catch (cause) {
--- a/src/fleet/store/journal.ts
+++ b/src/fleet/store/journal.ts
@@ -119,7 +119,10 @@
         const fault = new Fault({ step: 'journal', reason: String(cause), unknown: true });
         await handle?.close().catch(() => undefined);
         handle = undefined;
-        for (const entry of batch) entry.failed(fault);
+        // What came meanwhile may stand on the records that failed.
+        const waited = queue;
+        queue = [];
+        for (const entry of [...batch, ...waited]) entry.failed(fault);
       }
     }
     running = false;
--- a/src/fleet/store/lotCopies.ts
+++ b/src/fleet/store/lotCopies.ts
@@ -53,7 +53,12 @@
 };
 
 /** What a copy answers to a leader. */
-export type CopyAnswer = { readonly ok: boolean; readonly promised: LeaderBallot };
+export type CopyAnswer = {
+  readonly ok: boolean;
+  readonly promised: LeaderBallot;
+  /** How many entries it holds, where it was asked whom it lets lead. */
+  readonly held?: number;
+};
 /** What a copy answers to a leader that begins. */
 export type Prepared = CopyAnswer & { readonly ballots: ReadonlyArray<LeaderBallot> };
 
--- a/src/fleet/store/lotLeader.ts
+++ b/src/fleet/store/lotLeader.ts
@@ -116,7 +116,7 @@
       if (log.entries.length === 0) continue;
       const here = copies.of(lot).some((each) => placement.key(each) === copies.own);
       // Once the register says that a view is settled, every lot stands where that view has it.
-      if (!here && !moving && current.length > 0) {
+      if (!here && !moving && current.length > 0 && log.settled <= epoch) {
         const led = ledLots.get(lot);
         if (led) stepDown(led, 'the lot moved to other stores');
         replica.drop(lot);
@@ -168,7 +168,8 @@
       Promise.resolve(
         parts.map(({ lot, ballot }) => {
           const promised = promisedOf(lot);
-          return { ok: lotReplica.compare(promised, ballot) <= 0, promised };
+          const held = replica.logs.get(lot)?.entries.length ?? 0;
+          return { ok: lotReplica.compare(promised, ballot) <= 0, promised, held };
         }),
       ),
     'lot.settled': async ({ lot, epoch }: { lot: string; epoch: number }) => replica.settle(lot, epoch),
--- a/src/fleet/store/lotReplica.ts
+++ b/src/fleet/store/lotReplica.ts
@@ -48,7 +48,12 @@
 
 /** Applies one record to the logs: the reducer that replay and live work share. */
 const applied = (logs: Map<string, ReplicaLog>, record: ReplicaRecord, now: number): void => {
-  if (record.k === 'd') return void logs.delete(record.lot);
+  if (record.k === 'd') {
+    // The promise outlives the copy: an old leader must not get its ballot granted here again.
+    const kept = logs.get(record.lot);
+    if (kept) logs.set(record.lot, { ...kept, entries: [], settled: 0, touchedAt: now, dirty: false });
+    return;
+  }
   let log = logs.get(record.lot);
   if (!log) logs.set(record.lot, (log = { promised: none, entries: [], settled: 0, touchedAt: now, dirty: false }));
   log.touchedAt = now;
--- a/src/fleet/store/lotSync.ts
+++ b/src/fleet/store/lotSync.ts
@@ -163,7 +163,13 @@
     const start = now();
     const parts = asked.map(({ lot, ballot }) => ({ lot, ballot }));
     const heard = (await copies.call(voter, 'lot.confirm', { parts }, confirmMs)) as CopyAnswer[];
-    asked.forEach((led, place) => answered(led, voter, heard[place]!, start));
+    asked.forEach((led, place) => {
+      const known = heard[place]!;
+      const key = placement.key(voter);
+      // A copy that dropped the lot, or never promised this ballot, holds nothing under it, whatever it held before.
+      const empty = known.held === 0 || lotReplica.compare(known.promised, led.ballot) !== 0;
+      if (answered(led, voter, known, start) && empty && (led.match.get(key) ?? -1) > 0) led.match.set(key, -1);
+    });
   };
   return {
     schedule,
--- a/src/fleet/store/lotTakeover.ts
+++ b/src/fleet/store/lotTakeover.ts
@@ -8,7 +8,10 @@
 const { compare, none } = lotReplica;
 
 /** How many of a copy's first entries are the leader's own, going by the ballots that they stand under. */
-const sameLength = (led: Pick<Led, 'values' | 'origin' | 'ballot'>, ballots: ReadonlyArray<LeaderBallot>): number => {
+const sameLength = (
+  led: Pick<Led, 'values' | 'origin' | 'ballot' | 'found'>,
+  ballots: ReadonlyArray<LeaderBallot>,
+): number => {
   let length = 0;
   while (length < ballots.length && length < led.values.length) {
     const [at, from] = [ballots[length]!, led.origin[length]];
@@ -16,7 +19,8 @@
     length += 1;
   }
   // The last one is always sent, so that what a copy holds counts only once it stands under the leader's ballot.
-  return Math.max(0, Math.min(length, led.values.length - 1));
+  const most = led.found > 0 ? led.found - 1 : led.values.length - 1;
+  return Math.max(0, Math.min(length, most));
 };
 
 /** Asks the copies for their promise; answers as soon as a majority of every set gave it or all have spoken. */
--- a/src/fleet/store/storeDesk.ts
+++ b/src/fleet/store/storeDesk.ts
@@ -134,11 +134,16 @@
     const { results } = led.state;
     if (results.length <= after && !led.state.ended && waitMs > 0)
       await new Promise<void>((resolve) => {
-        const timer = setTimeout(resolve, waitMs);
         const woken = (): void => {
           clearTimeout(timer);
           resolve();
         };
+        const timer = setTimeout(() => {
+          const left = (readers.get(lot) ?? []).filter((each) => each !== woken);
+          if (left.length > 0) readers.set(lot, left);
+          else readers.delete(lot);
+          resolve();
+        }, waitMs);
         readers.set(lot, [...(readers.get(lot) ?? []), woken]);
       });
     if (results.length <= after && led.confirmedAt < start && !(await options.leader().confirm(led)))
--- a/src/fleet/store/storeProgram.ts
+++ b/src/fleet/store/storeProgram.ts
@@ -80,7 +80,7 @@
         if (led) leader.stepDown(led, 'kept long enough');
         replica.drop(lot);
       }
-      void journal.retire((lot) => logs.has(lot)).catch(() => undefined);
+      void journal.retire((lot) => (logs.get(lot)?.entries.length ?? 0) > 0).catch(() => undefined);
     }, retireMs),
   ];
   return {
--- a/src/tests/journal.test.ts
+++ b/src/tests/journal.test.ts
@@ -4,6 +4,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { openJournal, type Journal } from '../fleet/store/journal.js';
+import { lotReplica, type ReplicaLog, type ReplicaRecord } from '../fleet/store/lotReplica.js';
 
 type Found = { readonly lot: string; readonly n: number; readonly fill?: string };
 type Handle = Awaited<ReturnType<typeof files.open>>;
@@ -132,6 +133,29 @@
   expect([...told].sort()).toEqual(told);
 });
 
+test('a copy answers for nothing that stands on a write that failed', async () => {
+  const { journal } = await open();
+  const replica = lotReplica.make({ logs: new Map(), journal, now: () => 0 });
+  const append = (i: number): Promise<boolean> => {
+    const part = { lot: 'l', ballot: { round: 1, by: 'a' }, stamp: i, entries: [{ i, v: { kind: 'end' as const } }] };
+    return replica.append(part).catch(() => false);
+  };
+  let fail: (() => void) | undefined = undefined;
+  const failing = jest
+    .spyOn(handles, 'write')
+    .mockImplementationOnce((() => new Promise((_, no) => (fail = () => no(new Error('EIO'))))) as never);
+  const first = append(0);
+  while (!fail) await new Promise((resolve) => setImmediate(resolve));
+  const second = append(1);
+  for (let turn = 0; turn < 5; turn += 1) await new Promise((resolve) => setImmediate(resolve));
+  (fail as () => void)();
+  const answered = [await first, await second];
+  failing.mockRestore();
+  const logs = new Map<string, ReplicaLog>();
+  await openJournal(folder, (record) => lotReplica.applied(logs, record as ReplicaRecord, 0));
+  expect(logs.get('l')?.entries.length ?? 0).toBeGreaterThanOrEqual(answered.lastIndexOf(true) + 1);
+});
+
 test('a file that cannot be opened fails its records, and the next ones are taken', async () => {
   const { journal } = await open();
   const failing = jest.spyOn(files, 'open').mockRejectedValueOnce(new Error('ENOSPC'));
--- a/src/tests/lotLogs.test.ts
+++ b/src/tests/lotLogs.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, expect, test } from '@jest/globals';
-import type { Advert, Grant, LotResult } from '../fleet/fleetTypes.js';
+import type { Advert, Grant } from '../fleet/fleetTypes.js';
 import { placement } from '../fleet/store/placement.js';
 import type { Sabotage } from './lotFleet.js';
 import { lotRuns, type Kind, type LotRun } from './lotRuns.js';
@@ -30,15 +30,9 @@
 const created = async (run: LotRun, lot: string): Promise<void> => {
   expect(await finished(run, run.create(0, lot))).toBe(true);
 };
-const resultOf = (id: string, by: string): LotResult => ({
-  id,
-  state: 'completed',
-  text: by,
-  versions: [1],
-  rating: '',
-});
+const made = { state: 'completed', versions: [1], rating: '' } as const;
 const say = (run: LotRun, store: string, lot: string, at: number, by: string): Promise<ReadonlyArray<string>> => {
-  const words = [{ lot, id: `${lot}.${at}`, result: resultOf(`${lot}.${at}`, by) }];
+  const words = [{ lot, id: `${lot}.${at}`, result: { ...made, id: `${lot}.${at}`, text: by } }];
   const asked = run.fleet.channels('f1').call(store, 'board.words', { front: 'f1', words }, 2500);
   return asked.then(
     (heard) => heard as ReadonlyArray<string>,
@@ -371,19 +365,35 @@
   const run = await begin({ seed: 12, stores: three });
   const { fleet } = run;
   await created(run, 'again');
-  const [first] = orderOf(run, 'again') as [string];
+  const [first, second] = orderOf(run, 'again') as [string, string];
   fleet.kill(first);
   await fleet.advance(2500);
   await finished(run, run.read(0, 'again', 0, 0));
   const heard = (await finished(
     run,
-    fleet.channels('f0').call(orderOf(run, 'again')[1]!, 'board.watch', { front: 'f0', revision: -1, holds: [] }, 800),
+    fleet.channels('f0').call(second, 'board.watch', { front: 'f0', revision: -1, holds: [] }, 800),
   )) as { readonly adverts: ReadonlyArray<Advert> };
   expect(heard.adverts.map(({ lot, needed }) => ({ lot, needed }))).toEqual([{ lot: 'again', needed: 4 }]);
   const asks = [{ lot: 'again', sampler: 's', version: 1, most: 9, spare: false }];
-  const pulled = await finished(
-    run,
-    fleet.channels('f0').call(orderOf(run, 'again')[1]!, 'board.pull', { front: 'f0', asks }, 800),
-  );
+  const pulled = await finished(run, fleet.channels('f0').call(second, 'board.pull', { front: 'f0', asks }, 800));
   expect((pulled as { grants: ReadonlyArray<Grant> }).grants.length).toBe(4);
 });
+
+test('a copy that a lot comes back to holds it again', async () => {
+  const run = await begin({ seed: 13, stores: [...three, 'd'], steward: false });
+  const { fleet } = run;
+  await created(run, 'back');
+  const all = fleet.view().current;
+  const third = orderOf(run, 'back')[2]!;
+  const fewer = all.filter((each) => each.name !== third);
+  for (const [at, view] of [
+    [fewer, all],
+    [fewer, []],
+    [all, fewer],
+    [all, []],
+  ].entries()) {
+    fleet.setView({ epoch: at + 2, current: view[0]!, previous: view[1]! });
+    await fleet.advance(2000);
+  }
+  expect(fleet.node(third)!.logs.get('back')?.entries.length).toBe(1);
+});
