--- a/src/fleet/core/newsDesk.ts
+++ b/src/fleet/core/newsDesk.ts
@@ -21,9 +21,13 @@
 
 type Kept = { readonly sampler: Sampler; readonly revision: number; readonly heardAt: number | undefined };
 
-const holdMs = 700;
-const memberMs = 2300;
+const holdMs = 900;
+const memberMs = 2400;
 const goneKeptMs = 90_000;
+const gatherDefaultMs = 100;
+
+/** What makes a node's word news: not the sequence that it follows. */
+const told = (member: Member): string => JSON.stringify({ ...member, sequence: 0 });
 
 /** Makes a core's desk. */
 export const makeNewsDesk = (options: {
@@ -33,9 +37,13 @@
   readonly now: () => number;
   readonly wall: () => number;
   readonly followed: () => Followed | undefined;
+  /** News that follows other news this closely is told together; the first is told at once. */
+  readonly gatherMs?: number;
 }): NewsDesk => {
-  const { now } = options;
-  const members = new Map<string, { member: Member; heardAt: number }>();
+  const { now, gatherMs = gatherDefaultMs } = options;
+  const members = new Map<string, { member: Member; heardAt: number; revision: number }>();
+  const left = new Map<string, { at: number; revision: number }>();
+  let selfAt = 1;
   const samplers = new Map<string, Kept>();
   let revision = 1;
   let membersAt = 1;
@@ -43,15 +51,20 @@
 
   let toldOfSelf = '';
   let waking = false;
+  let wokeAt = -Infinity;
   const wake = (): void => {
     if (waking) return;
     waking = true;
-    setImmediate(() => {
+    const tellAll = (): void => {
       waking = false;
+      wokeAt = now();
       const woken = waiting;
       waiting = [];
       for (const each of woken) each();
-    });
+    };
+    const wait = gatherMs - (now() - wokeAt);
+    if (wait > 0) setTimeout(tellAll, wait);
+    else setImmediate(tellAll);
   };
   const keep = (sampler: Sampler, heardAt: number | undefined, quietly = false): void => {
     if (!quietly) revision += 1;
@@ -64,10 +77,11 @@
     if (member.name === options.self().name) return;
     const known = members.get(member.name);
     if (known && known.member.incarnation > member.incarnation) return;
-    const changed = JSON.stringify(known?.member) !== JSON.stringify(member);
-    members.set(member.name, { member, heardAt: now() });
+    const changed = !known || told(known.member) !== told(member);
+    if (changed) revision += 1;
+    members.set(member.name, { member, heardAt: now(), revision: changed ? revision : known.revision });
     if (!changed) return;
-    revision += 1;
+    left.delete(member.name);
     membersAt = revision;
     wake();
   };
@@ -81,7 +95,16 @@
       core: options.self().name,
       incarnation: options.incarnation,
       revision,
-      ...(membersAt > from && { members: list() }),
+      ...(membersAt > from && {
+        members:
+          from === 0
+            ? list()
+            : [
+                ...(selfAt > from ? [options.self()] : []),
+                ...[...members.values()].filter((each) => each.revision > from).map((each) => each.member),
+              ],
+        left: [...left].filter(([, each]) => each.revision > from).map(([name]) => name),
+      }),
       ...(changed.length > 0 && { samplers: changed }),
       ...(newer && {
         followed: {
@@ -101,7 +124,9 @@
     follow: (ask) => {
       tell(ask.self);
       const at = news(ask);
-      if (at) return Promise.resolve(at);
+      const first = ask.incarnation !== options.incarnation || ask.revision === 0;
+      if (at && (first || now() - wokeAt >= gatherMs)) return Promise.resolve(at);
+      if (at) wake();
       return new Promise((resolve) => {
         const settle = (): void => {
           clearTimeout(timer);
@@ -150,12 +175,15 @@
     wake,
     tick: () => {
       const at = now();
-      const own = JSON.stringify(options.self());
+      const own = told(options.self());
       let lost = own !== toldOfSelf;
+      if (lost) selfAt = revision + 1;
       toldOfSelf = own;
+      for (const [name, each] of left) if (at - each.at > goneKeptMs) left.delete(name);
       for (const [name, { heardAt }] of members)
         if (at - heardAt > memberMs) {
           members.delete(name);
+          left.set(name, { at, revision: revision + 1 });
           lost = true;
         }
       if (lost) {
--- a/src/fleet/follow.ts
+++ b/src/fleet/follow.ts
@@ -1,4 +1,5 @@
 import type { Channels } from '../edge/channels.js';
+import { rendezvous } from '../shared/rendezvous.js';
 import { table } from '../shared/table.js';
 import type { Followed, Member, Sampler, Traffic } from './fleetTypes.js';
 
@@ -16,7 +17,9 @@
   readonly core: string;
   readonly incarnation: number;
   readonly revision: number;
+  /** All members for a first ask, otherwise those that changed; and the names that left. */
   readonly members?: ReadonlyArray<Member>;
+  readonly left?: ReadonlyArray<string>;
   readonly samplers?: ReadonlyArray<Sampler>;
   readonly followed?: Omit<Followed, 'traffic'> & { readonly traffic?: Traffic };
 };
@@ -77,12 +80,20 @@
   return { members, samplers, followed };
 };
 
+const membersAfter = (before: ReadonlyArray<Member>, heard: FollowAnswer): ReadonlyArray<Member> => {
+  if (!heard.members) return before;
+  const gone = new Set([...(heard.left ?? []), ...heard.members.map((member) => member.name)]);
+  return [...before.filter((member) => !gone.has(member.name)), ...heard.members];
+};
+
 /** The rules by which several cores' words become one. */
 const makeFollower = (options: {
   readonly channels: Channels;
   readonly seeds: ReadonlyArray<string>;
   readonly self: () => Member;
   readonly now: () => number;
+  /** How many cores to follow at once; all of them where none is given. Cores follow all others and pass news on. */
+  readonly width?: number;
 }): Follower => {
   const { channels, now } = options;
   const empty: FleetView = { members: new Map(), samplers: new Map(), followed: undefined };
@@ -92,13 +103,29 @@
   const listeners: Array<(before: FleetView, after: FleetView) => void> = [];
   let stopped = false;
 
+  /** The cores to follow: the nearest by rendezvous, so that each is followed by its share of the nodes. */
+  const chosen = (view: FleetView): ReadonlyArray<string> => {
+    const all = [...view.members.values()].filter((member) => member.role === 'core' && member.state !== 'leaving');
+    if (options.width === undefined || all.length <= options.width) return all.map((member) => member.peer);
+    const { name } = options.self();
+    const first = rendezvous(
+      name,
+      all.map((member) => member.name),
+    ).slice(0, options.width);
+    return all.filter((member) => first.includes(member.name)).map((member) => member.peer);
+  };
+  const wanted = (address: string): boolean => {
+    const view = state.get();
+    const cores = chosen(view);
+    return cores.length === 0 || cores.includes(address);
+  };
   const publish = (followed: Followed | undefined): void => {
     const live = [...cores.values()].filter((view) => now() - view.heardAt < staleMs);
     const before = state.get();
     const views = live.length > 0 ? live : [...cores.values()];
     const after = state.swap(() => merge(views, followed));
     for (const listener of listeners) listener(before, after);
-    for (const member of after.members.values()) if (member.role === 'core') run(member.peer);
+    for (const address of chosen(after)) run(address);
   };
   const take = (address: string, heard: FollowAnswer): void => {
     const known = cores.get(address);
@@ -110,7 +137,7 @@
       heardAt: now(),
       incarnation: heard.incarnation,
       revision: heard.revision,
-      members: heard.members ?? same?.members ?? [],
+      members: membersAfter(same?.members ?? [], heard),
       samplers,
     });
     const had = state.get().followed;
@@ -137,6 +164,7 @@
         try {
           take(address, (await channels.call(address, 'news.follow', ask, pullMs)) as FollowAnswer);
           faults = 0;
+          if (!wanted(address)) break;
         } catch {
           faults += 1;
           const listed = [...state.get().members.values()].some((member) => member.peer === address);
--- a/src/fleet/front/desks.ts
+++ b/src/fleet/front/desks.ts
@@ -1,7 +1,6 @@
 import type { Channels } from '../../edge/channels.js';
-import { rendezvous } from '../../shared/rendezvous.js';
 import type { Dialect } from '../dialect.js';
-import type { Advert, Grant, Member, Partial, Sampler } from '../fleetTypes.js';
+import type { Advert, Grant, Partial, Sampler } from '../fleetTypes.js';
 import type { FleetView } from '../follow.js';
 import type { SamplerClient } from '../samplerClient.js';
 import type { ItemWord, WatchAnswer } from '../store/storeDesk.js';
@@ -13,6 +12,7 @@
 import { makeWeightLoads } from './weightLoads.js';
 import type { Desk, Known, Running } from './deskTypes.js';
 import { budget, type Running as Reckoned } from './budget.js';
+import { makeOwners } from './owners.js';
 import { makeRatings } from './ratings.js';
 import { makeWords } from './words.js';
 
@@ -329,16 +329,10 @@
     watching.delete(store);
   };
 
+  const owners = makeOwners();
   const changed = (): void => {
     const { members, samplers, followed } = view();
-    const fronts = [...members.values()].filter((member) => member.role === 'front' && member.state === 'ready');
-    const ownerOf = (sampler: Sampler): string | undefined => {
-      const near = fronts.filter((front: Member) => front.zone === sampler.zone);
-      return rendezvous(
-        sampler.id,
-        (near.length > 0 ? near : fronts).map((front) => front.name),
-      )[0];
-    };
+    const ownerOf = owners(members.values());
     const models = new Set(
       followed?.traffic?.services.filter((service) => service.model).map((service) => service.name),
     );
@@ -373,6 +367,7 @@
     schedule();
   };
   const ticking = setInterval(() => {
+    if (known.size === 0) return;
     for (const desk of desks.values()) pause(desk);
     if (desks.size > 0) schedule();
   }, 60);
--- a/src/fleet/front/frontProgram.ts
+++ b/src/fleet/front/frontProgram.ts
@@ -47,7 +47,13 @@
     sequence: 0,
     coreFresh: false,
   });
-  const follower = follow.make({ channels, seeds: settings.seeds, self, now });
+  const follower = follow.make({
+    channels,
+    seeds: settings.seeds,
+    self,
+    now,
+    width: settings.tolerance + 2,
+  });
   const view = follower.view;
   const client = makeSamplerClient(channelsMost);
   const directory = makeSamplerDirectory({ view, zone: settings.zone, now, chance: Math.random, idle: client.idle });
--- a/src/fleet/store/storeDesk.ts
+++ b/src/fleet/store/storeDesk.ts
@@ -32,13 +32,15 @@
 };
 
 const holdMs = 600;
+/** Where nothing is open here there is no lease to renew. */
+const idleHoldMs = 1200;
 const leaseMs = 2000;
 const sessionMs = 1800;
 const endedKeptMs = 20_000;
 const readBytes = 700_000;
 
 const promptsOf = (body: LotBody): number =>
-  body.items.reduce((sum, item) => sum + item.prompt, 0) / Math.max(1, body.items.length);
+  body.items.reduce((sum, item) => sum + (item.prompt || 0), 0) / Math.max(1, body.items.length);
 
 type Open = { readonly board: LotBoard; wasWaiting: boolean };
 
@@ -190,10 +192,13 @@
         sessions.set(ask.front, now());
         resolve(watching());
       };
-      const timer = setTimeout(() => {
-        watchers = watchers.filter((each) => each !== settle);
-        settle();
-      }, holdMs);
+      const timer = setTimeout(
+        () => {
+          watchers = watchers.filter((each) => each !== settle);
+          settle();
+        },
+        boards.size > 0 ? holdMs : idleHoldMs,
+      );
       watchers.push(settle);
     });
   };
--- a/src/fleet/store/storeProgram.ts
+++ b/src/fleet/store/storeProgram.ts
@@ -47,7 +47,13 @@
   };
   const handle = (name: string, body: unknown): Promise<unknown> | undefined =>
     name === 'store.unsettled' ? Promise.resolve(unsettled()) : (leader!.handle(name, body) ?? desk.handle(name, body));
-  const follower: Follower = follow.make({ channels, seeds: settings.seeds, self, now });
+  const follower: Follower = follow.make({
+    channels,
+    seeds: settings.seeds,
+    self,
+    now,
+    width: settings.tolerance + 2,
+  });
   const viewOf = () => follower.view().followed?.stores ?? { epoch: 0, current: [], previous: [] };
   leader = makeLotLeader({
     self: { name: settings.name, disk: disk.id },
