--- a/src/fleet/front/owners.ts
+++ b/src/fleet/front/owners.ts
@@ -1,7 +1,7 @@
 import { rendezvous } from '../../shared/rendezvous.js';
 import type { Member, Sampler } from '../fleetTypes.js';
 
-/** Which front owns each sampler: by rendezvous among the ready fronts of its zone, or among all where there are none. */
+/** Which front owns each sampler: by rendezvous among the ready fronts of its zone, or among all where it has none. */
 export type Owners = (members: Iterable<Member>) => (sampler: Sampler) => string | undefined;
 
 /** Makes the reckoning of owners; what was found holds until the fronts change. */
