Any two nodes follow more cores in common than may be lost

Cause, by reading: cores tell members only as they heard them themselves; with f+2 of six cores followed, two nodes could have had too few cores in common after losses. Now ceil((n+1+f)/2) of n.

--- a/src/fleet/follow.ts
+++ b/src/fleet/follow.ts
@@ -92,8 +92,11 @@
   readonly seeds: ReadonlyArray<string>;
   readonly self: () => Member;
   readonly now: () => number;
-  /** How many cores to follow at once; all of them where none is given. Cores follow all others and pass news on. */
-  readonly width?: number;
+  /**
+   * How many cores may be lost at once, where not all are to be followed. Cores pass samplers and the register on to each
+   * other, but members only as they heard them, so any two nodes must follow a core in common, also after that loss.
+   */
+  readonly tolerance?: number;
 }): Follower => {
   const { channels, now } = options;
   const empty: FleetView = { members: new Map(), samplers: new Map(), followed: undefined };
@@ -106,12 +109,13 @@
   /** The cores to follow: the nearest by rendezvous, so that each is followed by its share of the nodes. */
   const chosen = (view: FleetView): ReadonlyArray<string> => {
     const all = [...view.members.values()].filter((member) => member.role === 'core' && member.state !== 'leaving');
-    if (options.width === undefined || all.length <= options.width) return all.map((member) => member.peer);
+    const width = follow.width(all.length, options.tolerance);
+    if (all.length <= width) return all.map((member) => member.peer);
     const { name } = options.self();
     const first = rendezvous(
       name,
       all.map((member) => member.name),
-    ).slice(0, options.width);
+    ).slice(0, width);
     return all.filter((member) => first.includes(member.name)).map((member) => member.peer);
   };
   const wanted = (address: string): boolean => {
@@ -198,4 +202,10 @@
 };
 
 /** Following the cores: what is known of the fleet, and how it is merged. */
-export const follow = { make: makeFollower, later };
+export const follow = {
+  make: makeFollower,
+  later,
+  /** How many of so many cores a node follows, so that any two nodes have more in common than may be lost. */
+  width: (cores: number, tolerance: number | undefined): number =>
+    tolerance === undefined ? cores : Math.min(cores, Math.ceil((cores + 1 + tolerance) / 2)),
+};
--- a/src/fleet/front/frontProgram.ts
+++ b/src/fleet/front/frontProgram.ts
@@ -52,7 +52,7 @@
     seeds: settings.seeds,
     self,
     now,
-    width: settings.tolerance + 2,
+    tolerance: settings.tolerance,
   });
   const view = follower.view;
   const client = makeSamplerClient(channelsMost);
--- a/src/fleet/store/storeProgram.ts
+++ b/src/fleet/store/storeProgram.ts
@@ -52,7 +52,7 @@
     seeds: settings.seeds,
     self,
     now,
-    width: settings.tolerance + 2,
+    tolerance: settings.tolerance,
   });
   const viewOf = () => follower.view().followed?.stores ?? { epoch: 0, current: [], previous: [] };
   leader = makeLotLeader({
--- a/src/tests/follow.test.ts
+++ b/src/tests/follow.test.ts
@@ -319,6 +319,14 @@
     await turns.until(() => following.view().samplers.has('s2'));
     expect(following.view().samplers.get('s')?.state).toBe(state);
   });
+  test.each([1, 2, 3, 5, 6, 9])('of %i cores, any two nodes follow more in common than may be lost', (cores) => {
+    for (let tolerance = 0; 2 * tolerance < cores; tolerance += 1) {
+      const width = follow.width(cores, tolerance);
+      expect(width).toBeLessThanOrEqual(cores);
+      expect(2 * width - cores).toBeGreaterThan(tolerance);
+    }
+    expect(follow.width(cores, undefined)).toBe(cores);
+  });
   test('goes on with the other core when one falls silent', async () => {
     const cores = new Map(['core-1', 'core-2'].map((name) => [`${name}:1`, core(name)]));
     const following = follower(cores, [...cores.keys()]);
