--- a/src/fleet/follow.ts
+++ b/src/fleet/follow.ts
@@ -93,8 +93,8 @@
   readonly self: () => Member;
   readonly now: () => number;
   /**
-   * How many cores may be lost at once, where not all are to be followed. Cores pass samplers and the register on to each
-   * other, but members only as they heard them, so any two nodes must follow a core in common, also after that loss.
+   * How many cores may be lost at once, where not all are to be followed. Cores pass samplers and the register on, but
+   * members only as they heard them, so any two nodes must follow a core in common, also after that loss.
    */
   readonly tolerance?: number;
 }): Follower => {
