A silent core takes nobody back to what was known before it was asked

Ruled out: a register decided twice (one decision for each sequence in the cores' logs), a restarted front (it did not restart). followBack.test fails with the old line and passes with the new.

--- a/src/fleet/follow.ts
+++ b/src/fleet/follow.ts
@@ -173,7 +173,8 @@
           faults += 1;
           const listed = [...state.get().members.values()].some((member) => member.peer === address);
           if (!listed && !seeds.includes(address) && faults > 8) break;
-          if (cores.has(address) && now() - cores.get(address)!.heardAt > staleMs) publish(followed);
+          // What the other cores told meanwhile holds, not what was known when this one was asked.
+          if (cores.has(address) && now() - cores.get(address)!.heardAt > staleMs) publish(state.get().followed);
           await new Promise((resolve) => setTimeout(resolve, pauseMs * Math.min(4, faults)));
         }
       }
