--- a/src/dev/plainDialect.ts
+++ b/src/dev/plainDialect.ts
@@ -1,5 +1,6 @@
 import type { ControlCall, Dialect, InHeaders, LotCall, OutHeaders, Reply } from '../fleet/dialect.js';
 import type { LotItem, Sampler, Traffic } from '../fleet/fleetTypes.js';
+import { texts } from '../shared/texts.js';
 
 const names = {
   attempt: 'foxdeck-attempt',
@@ -110,7 +111,12 @@
     const { lotDueMs: dueMs, lotWaitMs: waitMs, attempts, single } = binding;
     return { ...handed, host, single, handedAt: wall, dueMs, waitMs, attempts };
   },
-  lotRead: (total, after, results) => reply({ total, next: after + results.length, results }),
+  lotRead: (total, after, results) =>
+    reply({
+      total,
+      next: after + results.length,
+      results: results.map((result) => ({ ...result, text: texts.read(result.text) })),
+    }),
   lotItem: (base64) => ({ status: 200, headers: json, body: Buffer.from(base64, 'base64') }),
   refusal: (status, attempt, againMs, cause) => ({
     status,
--- a/src/fleet/fleetTypes.ts
+++ b/src/fleet/fleetTypes.ts
@@ -1,4 +1,5 @@
 import type { Voter } from '../core/paxos.js';
+import type { Text } from '../shared/texts.js';
 
 /** The class of work that a machine does. */
 export type Role = 'front' | 'store' | 'core';
@@ -165,7 +166,7 @@
 export type LotResult = {
   readonly id: string;
   readonly state: 'completed' | 'abandoned';
-  readonly text: string;
+  readonly text: Text;
   readonly versions: ReadonlyArray<number>;
   readonly rating: string;
 };
--- a/src/fleet/front/ratings.ts
+++ b/src/fleet/front/ratings.ts
@@ -1,3 +1,4 @@
+import { texts } from '../../shared/texts.js';
 import type { Dialect } from '../dialect.js';
 import type { Grant, LotResult } from '../fleetTypes.js';
 import type { FleetView } from '../follow.js';
@@ -11,7 +12,7 @@
   /** Rates a text, again and again while its lot wants it; answers how to leave off. */
   readonly rate: (
     grant: Grant,
-    made: Pick<LotResult, 'text' | 'versions'>,
+    made: Pick<LotResult, 'versions'> & { readonly text: string },
     done: (result: LotResult) => void,
   ) => () => void;
   readonly open: () => number;
@@ -38,7 +39,12 @@
     open: () => open,
     rate: (grant, made, done) => {
       const asked = grant.item.rating;
-      const whole: Omit<LotResult, 'rating'> = { id: grant.item.id, state: 'completed', ...made };
+      const whole: Omit<LotResult, 'rating'> = {
+        id: grant.item.id,
+        state: 'completed',
+        text: texts.pack(made.text),
+        versions: made.versions,
+      };
       let [over, faults] = [false, 0];
       let leaveOff = (): void => undefined;
       const finish = (result: LotResult | undefined): void => {
--- a/src/fleet/store/journal.ts
+++ b/src/fleet/store/journal.ts
@@ -2,6 +2,7 @@
 import { join } from 'node:path';
 import { crc32 } from 'node:zlib';
 import { Fault } from '../../shared/fault.js';
+import { Parted } from '../../shared/parted.js';
 
 /** An append-only journal of JSON records in segments; what `append` answered for lasts. */
 export type Journal = {
@@ -34,8 +35,29 @@
   }
 };
 
+/** A record is JSON; where it holds bytes, a zero, the JSON's length, the JSON, and each part behind its length. */
+const written = (record: object): Buffer => {
+  const { json, parts } = Parted.split(record);
+  const text = Buffer.from(json);
+  if (parts.length === 0) return text;
+  const pieces: Uint8Array[] = [Buffer.of(0)];
+  for (const piece of [text, ...parts]) {
+    const length = Buffer.allocUnsafe(4);
+    length.writeUInt32LE(piece.length);
+    pieces.push(length, piece);
+  }
+  return Buffer.concat(pieces);
+};
+const read = (body: Buffer): unknown => {
+  if (body[0] !== 0) return JSON.parse(body.toString()) as unknown;
+  const pieces: Buffer[] = [];
+  for (let at = 1; at < body.length; at += 4 + pieces.at(-1)!.length)
+    pieces.push(body.subarray(at + 4, at + 4 + body.readUInt32LE(at)));
+  return Parted.join(pieces[0]!.toString(), pieces.slice(1));
+};
+
 const frame = (record: object): Buffer => {
-  const body = Buffer.from(JSON.stringify(record));
+  const body = written(record);
   const whole = Buffer.allocUnsafe(header + body.length);
   whole.writeUInt32LE(body.length, 0);
   whole.writeUInt32LE(crc32(body), 4);
@@ -49,7 +71,7 @@
     const length = bytes.readUInt32LE(at);
     const body = bytes.subarray(at + header, at + header + length);
     if (length === 0 || body.length < length || crc32(body) !== bytes.readUInt32LE(at + 4)) return;
-    found(JSON.parse(body.toString()));
+    found(read(body));
     at += header + length;
   }
 };
--- a/src/fleet/store/lotSync.ts
+++ b/src/fleet/store/lotSync.ts
@@ -1,4 +1,5 @@
 import type { Voter } from '../../core/paxos.js';
+import { texts } from '../../shared/texts.js';
 import type { CopyAnswer, Led, LeaderOptions, LotCopies, Prepared } from './lotCopies.js';
 import { lotReplica, type AppendPart } from './lotReplica.js';
 import { lotState } from './lotState.js';
@@ -19,7 +20,11 @@
 const confirmMs = 700;
 
 const sizeOf = (value: AppendPart['entries'][number]['v']): number =>
-  value.kind === 'result' ? value.result.text.length + 300 : value.kind === 'lot' ? value.body.items.length * 1500 : 20;
+  value.kind === 'result'
+    ? texts.size(value.result.text) + 300
+    : value.kind === 'lot'
+      ? value.body.items.length * 1500
+      : 20;
 
 /** The entries that a copy lacks, as one part. */
 const partFor = (led: Led, matched: number): AppendPart & { readonly bytes: number } => {
--- a/src/fleet/store/storeDesk.ts
+++ b/src/fleet/store/storeDesk.ts
@@ -1,4 +1,5 @@
 import { Fault } from '../../shared/fault.js';
+import { texts } from '../../shared/texts.js';
 import type { Advert, Grant, LotBody, LotResult, LotValue, Partial } from '../fleetTypes.js';
 import { makeLotBoard, type LotBoard } from './lotBoard.js';
 import type { Led } from './lotCopies.js';
@@ -154,7 +155,7 @@
     const some: LotResult[] = [];
     for (let at = after; at < results.length && (some.length === 0 || bytes < readBytes); at += 1) {
       some.push(results[at]!);
-      bytes += results[at]!.text.length * 1.1 + 300;
+      bytes += texts.readSize(results[at]!.text) * 1.1 + 300;
     }
     return { total: led.state.body!.items.length, results: some };
   };
--- a/src/tests/journal.test.ts
+++ b/src/tests/journal.test.ts
@@ -3,6 +3,7 @@
 import { promises as files, mkdtempSync, readFileSync, readdirSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { Parted } from '../shared/parted.js';
 import { openJournal, type Journal } from '../fleet/store/journal.js';
 import { lotReplica, type ReplicaLog, type ReplicaRecord } from '../fleet/store/lotReplica.js';
 
@@ -39,6 +40,17 @@
   expect(numbers((await open()).found)).toEqual([0, 1, 2, 3, 4, 5, 6, 7]);
 });
 
+test('bytes in a record lie beside its words and are told as they were', async () => {
+  const { journal } = await open();
+  const bytes = Buffer.from([0, 255, 10, 34, 92, 0]);
+  const record = (n: number) => ({ lot: 'l', n, held: [new Parted(bytes), new Parted(Buffer.alloc(0))] });
+  await journal.append('l', record(0));
+  await journal.append('l', { lot: 'l', n: 1 });
+  await journal.append('l', record(2));
+  const { found } = await open();
+  expect(found).toEqual([record(0), { lot: 'l', n: 1 }, record(2)]);
+});
+
 test('records of one turn share one sync', async () => {
   const { journal } = await open();
   const synced = jest.spyOn(handles, 'datasync');
--- a/src/tests/lotFleet.ts
+++ b/src/tests/lotFleet.ts
@@ -1,6 +1,7 @@
 import { Effect } from 'effect';
 import type { Register } from '../core/register.js';
 import type { Channels } from '../edge/channels.js';
+import { packing } from '../edge/packing.js';
 import { steward } from '../fleet/core/steward.js';
 import type { Member, StoreView } from '../fleet/fleetTypes.js';
 import type { FleetView } from '../fleet/follow.js';
@@ -9,10 +10,12 @@
 import { lotReplica, type LotReplica, type ReplicaLog, type ReplicaRecord } from '../fleet/store/lotReplica.js';
 import { makeStoreDesk } from '../fleet/store/storeDesk.js';
 import { Fault } from '../shared/fault.js';
+import { Parted } from '../shared/parted.js';
 
 type Life = { readonly name: string; dead: boolean; frozen: boolean; held: Array<() => void> };
 type Due = { readonly at: number; readonly life: Life; readonly run: () => void; off: boolean };
-type Write = { readonly text: string; readonly done: () => void; readonly failed: (fault: Fault) => void };
+type Saved = ReturnType<typeof Parted.split>;
+type Write = { readonly saved: Saved; readonly done: () => void; readonly failed: (fault: Fault) => void };
 type Handle = (name: string, body: unknown) => Promise<unknown> | undefined;
 type Node = {
   readonly life: Life;
@@ -22,7 +25,7 @@
 };
 
 /** A disk: what lasts on it, and writes that no sync has covered. */
-export type FakeDisk = { readonly id: string; lasting: string[]; unsynced: Write[]; failing: boolean; slowMs: number };
+export type FakeDisk = { readonly id: string; lasting: Saved[]; unsynced: Write[]; failing: boolean; slowMs: number };
 
 /** How a run is broken on purpose, to check the checker. */
 export type Sabotage = 'none' | 'confirmsAll' | 'answersBeforeSync' | 'acceptsAll';
@@ -149,7 +152,7 @@
       const fails = (reason: string, unknown: boolean): void =>
         reject(new Fault({ step: name, cohortMember: to, reason, ...(unknown && { unknown }) }));
       const timer = after(ms, from, () => fails('no answer in time', true));
-      const text = JSON.stringify(body ?? null);
+      const asked = packing.pack(body);
       const back = (act: () => void): void => {
         if (!passes(to, from.name)) return;
         after(delay() + (options.late?.(to, from.name, name) ?? 0), from, () => {
@@ -160,12 +163,12 @@
       const serve = (node: Node): void => {
         const refused = (cause: unknown): void => back(() => fails(String(cause), false));
         try {
-          const work = node.handle(name, JSON.parse(text) as unknown);
+          const work = node.handle(name, packing.unpack(asked));
           if (!work) return refused('not answered here');
           work.then((value) => {
-            const answer = JSON.stringify(value ?? null);
-            for (const listener of listeners) listener(to, name, JSON.parse(answer), time);
-            back(() => resolve(JSON.parse(answer)));
+            const answer = packing.pack(value);
+            for (const listener of listeners) listener(to, name, packing.unpack(answer), time);
+            back(() => resolve(packing.unpack(answer)));
           }, refused);
         } catch (cause) {
           refused(cause);
@@ -198,7 +201,7 @@
         const batch = disk.unsynced.splice(0, count);
         const { failing } = disk;
         const kept = failing ? int(count + 1) : count;
-        disk.lasting.push(...batch.slice(0, kept).map((write) => write.text));
+        disk.lasting.push(...batch.slice(0, kept).map((write) => write.saved));
         for (const write of batch)
           if (failing) write.failed(new Fault({ step: 'journal', reason: 'the disk refuses' }));
           else write.done();
@@ -208,7 +211,7 @@
     return {
       append: (_lot, record) =>
         new Promise((done, failed) => {
-          disk.unsynced.push({ text: JSON.stringify(record), done, failed });
+          disk.unsynced.push({ saved: Parted.split(record), done, failed });
           if (sabotage === 'answersBeforeSync') done();
           if (running) return;
           running = true;
@@ -244,7 +247,8 @@
     const disk = disks.get(name) ?? freshDisk(name);
     disk.unsynced = [];
     const logs = new Map<string, ReplicaLog>();
-    for (const text of disk.lasting) lotReplica.applied(logs, JSON.parse(text) as ReplicaRecord, now());
+    for (const { json, parts } of disk.lasting)
+      lotReplica.applied(logs, Parted.join(json, parts) as ReplicaRecord, now());
     const kept = lotReplica.make({ logs, journal: journalOf(disk, life), now });
     const accepts: LotReplica = { ...kept, append: (part) => kept.append(part).then(() => true) };
     const replica = sabotage === 'acceptsAll' ? accepts : kept;
@@ -300,7 +304,7 @@
     node.life.dead = true;
     nodes.delete(name);
     const disk = disks.get(name)!;
-    disk.lasting.push(...disk.unsynced.slice(0, int(disk.unsynced.length + 1)).map((write) => write.text));
+    disk.lasting.push(...disk.unsynced.slice(0, int(disk.unsynced.length + 1)).map((write) => write.saved));
     disk.unsynced = [];
   };
 
--- a/src/tests/lotRuns.ts
+++ b/src/tests/lotRuns.ts
@@ -1,6 +1,7 @@
 import type { Advert, Grant, LotBody, LotResult } from '../fleet/fleetTypes.js';
 import { makeStoreCalls, type StoreCalls } from '../fleet/front/storeCalls.js';
 import { placement } from '../fleet/store/placement.js';
+import { texts } from '../shared/texts.js';
 import { makeLotFleet, type LotFleet, type Sabotage } from './lotFleet.js';
 
 type Known = {
@@ -75,7 +76,7 @@
     if (heard.results.length === 0 && known.positions[after] && known.positions[after].at < start)
       broken.push(`${lot} says nothing at ${after} once it was read`);
     heard.results.forEach((result, place) => {
-      const text = JSON.stringify(result);
+      const text = JSON.stringify({ ...result, text: texts.read(result.text) });
       const before = known.positions[after + place];
       if (before && before.text !== text) broken.push(`${lot} changed ${after + place}: ${before.text} to ${text}`);
       const other = known.positions.findIndex((each) => each?.id === result.id);
@@ -167,7 +168,9 @@
           words.forEach(({ id }, place) => said[place] === 'ok' && held.delete(id));
           const taken = (await Promise.resolve(grants || { grants: [] })) as { grants: ReadonlyArray<Grant> };
           for (const { lot, item } of taken.grants) {
-            const text = `${item.id} ${front} ${(made += 1)}`;
+            // Half of the texts are long enough to travel as bytes.
+            const plain = `${item.id} ${front} ${(made += 1)}`;
+            const text = texts.pack(made % 2 === 0 ? plain : plain.padEnd(500, plain));
             const result: LotResult = { id: item.id, state: 'completed', text, versions: [1], rating: '' };
             held.set(item.id, { lot, id: item.id, result });
           }
