A process whose clock went back is known at once, not after its former life's silence

Cause: lives are told apart by their wall clocks; cores passed over the word of a life that began below the former one's time, until that had been silent for 2.4 s (stores, cores and fronts alike). Change: a core answers such a word with the incarnation it knows, and the process goes on above it, as in SWIM's refutations; news desks are told apart by a number of chance beside the clock. Ruled out: a counter on disk (fronts have none); taking the last word heard (cores pass words on). Before: the former life stands at every core until silence ends it; after: known at once, 4 asks a core. Test: incarnation.test.ts, seen to fail with the answer taken out.

--- a/src/fleet/core/coreProgram.ts
+++ b/src/fleet/core/coreProgram.ts
@@ -50,7 +50,11 @@
   const { channels, now, wall, log, dialect } = tools;
   const disk = tools.disk!;
   const time = realTime();
-  const incarnation = wall();
+  let incarnation = wall();
+  const outlive = (former: number): void => {
+    incarnation = Math.max(incarnation, former) + 1;
+    log.event('incarnation_raised', { former, incarnation });
+  };
   const holder = `${settings.name}#${incarnation}`;
   let state: Member['state'] = 'starting';
   const links: Context.Tag.Service<typeof Links> = {
@@ -127,7 +131,7 @@
   });
   const desk = makeNewsDesk({
     self,
-    incarnation,
+    incarnation: incarnation + Math.random(),
     beatMs: settings.beatMs,
     now,
     wall,
@@ -140,6 +144,7 @@
     seeds: settings.seeds.filter((seed) => seed !== settings.peer),
     self,
     now,
+    outlive,
   });
   const handleAsk = (ask: Ask): Effect.Effect<Answer> => {
     const byVoter = voter.handle(ask);
--- a/src/fleet/core/newsDesk.ts
+++ b/src/fleet/core/newsDesk.ts
@@ -5,7 +5,8 @@
 /** What a core tells those who follow it: members, samplers and the register, each with a revision. */
 export type NewsDesk = {
   readonly follow: (ask: FollowAsk) => Promise<FollowAnswer>;
-  readonly tell: (member: Member) => void;
+  /** Takes a node's word of itself; answers the incarnation of its former life where that one is greater. */
+  readonly tell: (member: Member) => number | undefined;
   readonly members: () => ReadonlyArray<Member>;
   readonly samplers: () => Iterable<Sampler>;
   readonly sampler: (id: string) => Sampler | undefined;
@@ -32,6 +33,7 @@
 /** Makes a core's desk. */
 export const makeNewsDesk = (options: {
   readonly self: () => Member;
+  /** Names this life of the desk; revisions of another life count for nothing. */
   readonly incarnation: number;
   readonly beatMs: number;
   readonly now: () => number;
@@ -73,17 +75,18 @@
   };
   const list = (): ReadonlyArray<Member> => [options.self(), ...[...members.values()].map(({ member }) => member)];
 
-  const tell = (member: Member): void => {
-    if (member.name === options.self().name) return;
+  const tell = (member: Member): number | undefined => {
+    if (member.name === options.self().name) return undefined;
     const known = members.get(member.name);
-    if (known && known.member.incarnation > member.incarnation) return;
+    if (known && known.member.incarnation > member.incarnation) return known.member.incarnation;
     const changed = !known || told(known.member) !== told(member);
     if (changed) revision += 1;
     members.set(member.name, { member, heardAt: now(), revision: changed ? revision : known.revision });
-    if (!changed) return;
+    if (!changed) return undefined;
     left.delete(member.name);
     membersAt = revision;
     wake();
+    return undefined;
   };
   const news = (ask: FollowAsk): FollowAnswer | undefined => {
     const from = ask.incarnation === options.incarnation ? ask.revision : 0;
@@ -122,7 +125,14 @@
   return {
     tell,
     follow: (ask) => {
-      tell(ask.self);
+      const outlived = tell(ask.self);
+      if (outlived !== undefined)
+        return Promise.resolve({
+          core: options.self().name,
+          incarnation: options.incarnation,
+          revision: ask.incarnation === options.incarnation ? ask.revision : 0,
+          outlived,
+        });
       const at = news(ask);
       const first = ask.incarnation !== options.incarnation || ask.revision === 0;
       if (at && (first || now() - wokeAt >= gatherMs)) return Promise.resolve(at);
--- a/src/fleet/fleetTypes.ts
+++ b/src/fleet/fleetTypes.ts
@@ -40,7 +40,7 @@
   readonly peer: string;
   readonly disk: string;
   readonly state: 'starting' | 'ready' | 'leaving';
-  /** When the process began, by its wall clock; a later life has a greater one. */
+  /** A later life has a greater one: its wall clock, or above that of a former life that is known under a greater one. */
   readonly incarnation: number;
   readonly sequence: number;
   readonly coreFresh: boolean;
--- a/src/fleet/follow.ts
+++ b/src/fleet/follow.ts
@@ -22,6 +22,8 @@
   readonly left?: ReadonlyArray<string>;
   readonly samplers?: ReadonlyArray<Sampler>;
   readonly followed?: Omit<Followed, 'traffic'> & { readonly traffic?: Traffic };
+  /** A former life of the asking node is known under this incarnation, so its word was not taken. */
+  readonly outlived?: number;
 };
 
 /** The fleet as one process knows it: a snapshot that is swapped whole. */
@@ -92,6 +94,8 @@
   readonly seeds: ReadonlyArray<string>;
   readonly self: () => Member;
   readonly now: () => number;
+  /** A former life of this node is known under that incarnation: `self` has to name a greater one from now on. */
+  readonly outlive?: (incarnation: number) => void;
   /**
    * How many cores may be lost at once, where not all are to be followed. Cores pass samplers and the register on, but
    * members only as they heard them, so any two nodes must follow a core in common, also after that loss.
@@ -166,8 +170,15 @@
           trafficVersion: followed?.traffic?.version ?? 0,
         };
         try {
-          take(address, (await channels.call(address, 'news.follow', ask, pullMs)) as FollowAnswer);
+          const heard = (await channels.call(address, 'news.follow', ask, pullMs)) as FollowAnswer;
           faults = 0;
+          if (heard.outlived !== undefined) {
+            const behind = heard.outlived >= options.self().incarnation;
+            if (behind && !options.outlive) throw new Error(`a former life is known as ${heard.outlived}`);
+            if (behind) options.outlive!(heard.outlived);
+            continue;
+          }
+          take(address, heard);
           if (!wanted(address)) break;
         } catch {
           faults += 1;
--- a/src/fleet/front/frontProgram.ts
+++ b/src/fleet/front/frontProgram.ts
@@ -32,7 +32,11 @@
 /** Runs a front: it serves callers, and owns the samplers whose items it seats. */
 export const startFront = async (settings: FleetSettings, tools: ProgramTools): Promise<Program> => {
   const { channels, now, wall, log, dialect } = tools;
-  const incarnation = wall();
+  let incarnation = wall();
+  const outlive = (former: number): void => {
+    incarnation = Math.max(incarnation, former) + 1;
+    log.event('incarnation_raised', { former, incarnation });
+  };
   let leaving = false;
   let inFlight = 0;
   const ready = (): boolean => !leaving && follower.heard() && follower.view().followed?.traffic !== undefined;
@@ -52,6 +56,7 @@
     seeds: settings.seeds,
     self,
     now,
+    outlive,
     tolerance: settings.tolerance,
   });
   const view = follower.view;
--- a/src/fleet/store/storeProgram.ts
+++ b/src/fleet/store/storeProgram.ts
@@ -21,7 +21,11 @@
   const channels: Channels = tools.channels;
   const disk = tools.disk!;
   let state: Member['state'] = 'starting';
-  const incarnation = wall();
+  let incarnation = wall();
+  const outlive = (former: number): void => {
+    incarnation = Math.max(incarnation, former) + 1;
+    log.event('incarnation_raised', { former, incarnation });
+  };
   const self = (): Member => ({
     name: settings.name,
     role: 'store',
@@ -52,6 +56,7 @@
     seeds: settings.seeds,
     self,
     now,
+    outlive,
     tolerance: settings.tolerance,
   });
   const viewOf = () => follower.view().followed?.stores ?? { epoch: 0, current: [], previous: [] };
--- /dev/null
+++ b/src/tests/incarnation.test.ts
@@ -0,0 +1,66 @@
+import { afterEach, beforeEach, expect, jest, test } from '@jest/globals';
+import type { Channels } from '../edge/channels.js';
+import { makeNewsDesk, type NewsDesk } from '../fleet/core/newsDesk.js';
+import { follow, type FollowAsk } from '../fleet/follow.js';
+import type { Member } from '../fleet/fleetTypes.js';
+
+const member = (name: string, role: Member['role'], incarnation: number): Member => ({
+  name,
+  role,
+  zone: 'a',
+  peer: `${name}:1`,
+  disk: '',
+  state: 'ready',
+  incarnation,
+  sequence: 0,
+  coreFresh: true,
+});
+const desks = (names: ReadonlyArray<string>): ReadonlyMap<string, NewsDesk> =>
+  new Map(
+    names.map((name) => {
+      const options = { self: () => member(name, 'core', 1), incarnation: 1, beatMs: 1000, now: () => Date.now() };
+      return [`${name}:1`, makeNewsDesk({ ...options, wall: () => 1, followed: () => undefined, gatherMs: 0 })];
+    }),
+  );
+
+beforeEach(() => {
+  jest.useFakeTimers({ now: 10_000 });
+});
+afterEach(() => {
+  jest.useRealTimers();
+});
+
+test('a life whose clock is behind that of the former one is known at once, at every core', async () => {
+  const cores = desks(['core-1', 'core-2', 'core-3']);
+  for (const desk of cores.values()) desk.tell(member('store-1', 'store', 900_000));
+  let asks = 0;
+  const call = (address: string, _name: string, body: unknown): Promise<unknown> => {
+    asks += 1;
+    return cores.get(address)!.follow(JSON.parse(JSON.stringify(body)) as FollowAsk);
+  };
+  let incarnation = 500_000;
+  const follower = follow.make({
+    channels: { call } as unknown as Channels,
+    seeds: [...cores.keys()],
+    self: () => ({ ...member('store-1', 'store', incarnation), disk: 'another' }),
+    outlive: (former) => (incarnation = Math.max(incarnation, former) + 1),
+    now: () => Date.now(),
+  });
+  await jest.advanceTimersByTimeAsync(50);
+  for (const desk of cores.values())
+    expect(desk.members().find(({ name }) => name === 'store-1')).toMatchObject({ incarnation, disk: 'another' });
+  expect(incarnation).toBe(900_001);
+  expect(follower.view().members.get('store-1')).toMatchObject({ disk: 'another' });
+  // To each core: the word that is not taken, the next one, the news of itself, the long pull.
+  expect(asks).toBeLessThanOrEqual(3 * 4);
+  follower.stop();
+});
+
+test('a core says so only of an older incarnation, and takes nothing of that word', () => {
+  const [desk] = [...desks(['core-1']).values()];
+  expect(desk!.tell(member('front-1', 'front', 7))).toBeUndefined();
+  expect(desk!.tell(member('front-1', 'front', 7))).toBeUndefined();
+  expect(desk!.tell({ ...member('front-1', 'front', 6), state: 'leaving' })).toBe(7);
+  expect(desk!.members().find(({ name }) => name === 'front-1')).toMatchObject({ incarnation: 7, state: 'ready' });
+  expect(desk!.tell(member('front-1', 'front', 8))).toBeUndefined();
+});
