Probe of a load waits until loads usually are over

Change: a front learns how long loads take and asks first after 0.85 of that; an order that was answered with silence or as held already is asked at once, as before. Dead fields of desks and directory went. Test: orders.test.ts (due).

--- a/src/fleet/fleetTypes.ts
+++ b/src/fleet/fleetTypes.ts
@@ -40,7 +40,7 @@
   readonly peer: string;
   readonly disk: string;
   readonly state: 'starting' | 'ready' | 'leaving';
-  /** A later life has a greater one: its wall clock, or above that of a former life that is known under a greater one. */
+  /** A later life has a greater one: its wall clock, or one above that of a former life that is known. */
   readonly incarnation: number;
   readonly sequence: number;
   readonly coreFresh: boolean;
--- a/src/fleet/front/deskTypes.ts
+++ b/src/fleet/front/deskTypes.ts
@@ -13,7 +13,6 @@
   sampler: Sampler;
   readonly running: Set<string>;
   pulling: number;
-  blockedUntil: number;
   readonly modelBlocked: Map<string, number>;
   readonly learnt: Map<string, number>;
 };
--- a/src/fleet/front/desks.ts
+++ b/src/fleet/front/desks.ts
@@ -218,8 +218,7 @@
     lots.sort((one, other) => urgency(one) - urgency(other));
     for (const desk of desks.values()) {
       let free = desk.sampler.slots - desk.running.size - desk.pulling;
-      if (free <= 0 || desk.sampler.state !== 'ready' || at < desk.blockedUntil || !directory.usable(desk.sampler.id))
-        continue;
+      if (free <= 0 || desk.sampler.state !== 'ready' || !directory.usable(desk.sampler.id)) continue;
       const cacheTokens = serviceOf(desk)?.cacheTokens ?? 0;
       const held = cacheTokens > 0 ? reckoned(desk) : [];
       for (const spare of [false, true])
@@ -234,6 +233,7 @@
             continue;
           }
           if (at < (desk.modelBlocked.get(advert.model) ?? 0)) continue;
+          if (coming !== undefined && !loads.due(desk.sampler.id)) continue;
           const binding = traffic.match(view().followed?.traffic, advert.host, advert.path);
           if (!binding?.shares.some((share) => share.weight > 0 && share.service === desk.sampler.service)) continue;
           // While a version is being loaded, one item tells whether it is there.
@@ -348,7 +348,6 @@
           sampler,
           running: new Set(),
           pulling: 0,
-          blockedUntil: 0,
           modelBlocked: new Map(),
           learnt: new Map(),
         });
--- a/src/fleet/front/samplerDirectory.ts
+++ b/src/fleet/front/samplerDirectory.ts
@@ -11,7 +11,6 @@
   /** Notes how a call went: what it took in milliseconds, or that it failed, and for how long to stay away. */
   readonly ended: (id: string, tookMs: number | undefined, awayMs: number) => void;
   readonly usable: (id: string) => boolean;
-  readonly latencyMs: (id: string) => number;
 };
 
 type Seen = { out: number; ewmaMs: number; awayUntil: number; okAt: number; faults: number };
@@ -111,6 +110,5 @@
       }
     },
     usable: (id) => now() >= seenOf(id).awayUntil,
-    latencyMs: (id) => seenOf(id).ewmaMs,
   };
 };
--- a/src/fleet/front/weightLoads.ts
+++ b/src/fleet/front/weightLoads.ts
@@ -13,18 +13,28 @@
   readonly wish: (sampler: Sampler, wish: Omit<LoadWish, 'sampler' | 'slots'>) => void;
   /** The version that is being loaded. */
   readonly coming: (sampler: string, model: string) => number | undefined;
+  /** Whether the load under way at a sampler has taken nearly as long as loads took of late. */
+  readonly due: (sampler: string) => boolean;
   /** Notes that a sampler was seen to have a version. */
   readonly reached: (sampler: string, model: string, version: number) => void;
   readonly forget: (sampler: string) => void;
 };
 
-type Under = { readonly model: string; readonly version: number; ordered: boolean; since: number };
+type Under = {
+  readonly model: string;
+  readonly version: number;
+  ordered: boolean;
+  since: number;
+  dueAt: number;
+};
 
 const orderMs = 1000;
 const permitMs = 500;
 const deniedMs = 150;
 const busyMs = 80;
 const lostMs = 2500;
+const dueShare = 0.85;
+const learnShare = 0.3;
 
 /** Makes a front's loads: a permit, so that few load at once, then the lease to order, then the order. */
 export const makeWeightLoads = (options: {
@@ -41,6 +51,8 @@
   const { channels, view, now } = options;
   const under = new Map<string, Under>();
   const notBefore = new Map<string, number>();
+  /** How long loads took of late, from the order until the version was seen. */
+  let tookMs = 0;
 
   const permitCore = (): string | undefined => {
     const cores = [...view().members.values()].filter((member) => member.role === 'core' && member.state === 'ready');
@@ -76,6 +88,7 @@
         // A silence may hide an order that was taken: the next item tells.
         entry.ordered = true;
         entry.since = now();
+        entry.dueAt = status === 202 ? entry.since + Math.min(tookMs * dueShare, lostMs / 2) : 0;
         options.changed();
       } else over(sampler.id, entry, busyMs);
     };
@@ -98,7 +111,7 @@
       const known = under.get(sampler.id);
       if (known && now() - known.since < lostMs) return;
       if (now() < (notBefore.get(sampler.id) ?? 0)) return;
-      const entry: Under = { model: wish.model, version: wish.version, ordered: false, since: now() };
+      const entry: Under = { model: wish.model, version: wish.version, ordered: false, since: now(), dueAt: 0 };
       under.set(sampler.id, entry);
       void begin(sampler, entry, { ...wish, sampler: sampler.id, slots: sampler.slots }).catch(() =>
         over(sampler.id, entry, deniedMs),
@@ -108,9 +121,14 @@
       const known = under.get(sampler);
       return known?.ordered && known.model === model && now() - known.since < lostMs ? known.version : undefined;
     },
+    due: (sampler) => {
+      const known = under.get(sampler);
+      return known === undefined || now() >= known.dueAt;
+    },
     reached: (sampler, model, version) => {
       const known = under.get(sampler);
       if (!known || known.model !== model || version < known.version) return;
+      if (known.dueAt > 0) tookMs += (tookMs === 0 ? 1 : learnShare) * (now() - known.since - tookMs);
       under.delete(sampler);
       const core = permitCore();
       if (core) void channels.call(core, 'weights.done', { sampler, model, version }, permitMs).catch(() => undefined);
--- a/src/tests/orders.test.ts
+++ b/src/tests/orders.test.ts
@@ -324,6 +324,34 @@
     jest.advanceTimersByTime(100);
     expect(await ask()).toBe(4);
   });
+  test('are due when they have nearly taken as long as loads took of late; one that holds already is due at once', async () => {
+    const { ask, answer, loads } = make();
+    const load = async (version: number, status: number, tookMs: number): Promise<void> => {
+      await ask({ version });
+      answer(status);
+      jest.advanceTimersByTime(tookMs);
+      loads.reached('s1', 'm', version);
+    };
+    expect(loads.due('s1')).toBe(true);
+    await load(2, 202, 1000);
+    await ask({ version: 3 });
+    answer(202);
+    jest.advanceTimersByTime(840);
+    expect(loads.due('s1')).toBe(false);
+    jest.advanceTimersByTime(20);
+    expect(loads.due('s1')).toBe(true);
+    loads.reached('s1', 'm', 3);
+    await ask({ version: 4 });
+    answer(200);
+    expect(loads.due('s1')).toBe(true);
+    loads.reached('s1', 'm', 4);
+    // However long loads took, one that may be lost is tried before it is ordered again.
+    for (let version = 5; version < 9; version += 1) await load(version, 202, 2400);
+    await ask({ version: 9 });
+    answer(202);
+    jest.advanceTimersByTime(1260);
+    expect(loads.due('s1')).toBe(true);
+  });
   test('are over once the sampler was seen to have the version, and the core is told', async () => {
     const { ask, answer, loads, told } = make();
     await ask();
