Cores keep the samplers that they knew, so a restarted fleet serves at once

Change: a core writes what it knows to a sealed file when more than a beat changed, a second apart at least. Ruled out: asking samplers (probes are priced); fronts keeping them (no disk). Test: samplerFile.test.ts.

--- a/src/fleet/core/coreProgram.ts
+++ b/src/fleet/core/coreProgram.ts
@@ -23,12 +23,14 @@
 import { makeControlDesk } from './controlDesk.js';
 import { makeLoadPermits } from './loadPermits.js';
 import { makeNewsDesk } from './newsDesk.js';
+import { makeSamplerFile } from './samplerFile.js';
 import { steward } from './steward.js';
 
 /** Nobody here serves on leases of the configuration: what fronts follow is bounded by their contact with the cores. */
 const coreLeaseMs = 1;
 const dutySlackMs = 1000;
 const stewardDuty = 'steward';
+const keepMs = 1000;
 
 const every = (ms: number, work: () => unknown): NodeJS.Timeout => {
   let running = false;
@@ -129,8 +131,10 @@
     log: tools.fullLog,
     learnt: register.learn,
   });
+  const samplerFile = makeSamplerFile(realDisk(settings.data!));
   const desk = makeNewsDesk({
     self,
+    known: await samplerFile.read(),
     incarnation: incarnation + Math.random(),
     beatMs: settings.beatMs,
     now,
@@ -231,6 +235,7 @@
   const timers = [
     every(250, () => desk.tick()),
     every(300, () => keeper.tick()),
+    every(keepMs, () => samplerFile.keep(desk.samplers())),
     every(400, async () => {
       if (settings.firstStart && !register.known()) await Effect.runPromise(Effect.ignore(upkeep.founding));
       await Effect.runPromise(Effect.ignore(upkeep.follow));
--- a/src/fleet/core/newsDesk.ts
+++ b/src/fleet/core/newsDesk.ts
@@ -39,6 +39,8 @@
   readonly now: () => number;
   readonly wall: () => number;
   readonly followed: () => Followed | undefined;
+  /** Samplers known from a former life of this core; they count as heard of now. */
+  readonly known?: ReadonlyArray<Sampler>;
   /** News that follows other news this closely is told together; the first is told at once. */
   readonly gatherMs?: number;
 }): NewsDesk => {
@@ -48,6 +50,7 @@
   let selfAt = 1;
   const samplers = new Map<string, Kept>();
   let revision = 1;
+  for (const sampler of options.known ?? []) samplers.set(sampler.id, { sampler, revision, heardAt: now() });
   let membersAt = 1;
   let waiting: Array<() => void> = [];
 
--- /dev/null
+++ b/src/tests/samplerFile.test.ts
@@ -0,0 +1,98 @@
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { afterEach, beforeEach, expect, test } from '@jest/globals';
+import { realDisk } from '../edge/realDisk.js';
+import { makeNewsDesk } from '../fleet/core/newsDesk.js';
+import { makeSamplerFile } from '../fleet/core/samplerFile.js';
+import type { Member, Sampler } from '../fleet/fleetTypes.js';
+
+let folder = '';
+beforeEach(() => {
+  folder = mkdtempSync(join(tmpdir(), 'foxdeck-samplers-'));
+});
+afterEach(() => rmSync(folder, { recursive: true, force: true }));
+
+const sampler = (id: string, more: Partial<Sampler> = {}): Sampler => ({
+  id,
+  service: 'texts',
+  address: `${id}:1`,
+  zone: 'a',
+  slots: 4,
+  state: 'ready',
+  beat: 5,
+  models: { m: 3 },
+  quiet: false,
+  born: 1,
+  ...more,
+});
+const file = () => makeSamplerFile(realDisk(folder));
+const self: Member = {
+  name: 'core-1',
+  role: 'core',
+  zone: 'a',
+  peer: 'core-1:1',
+  disk: 'd',
+  state: 'ready',
+  incarnation: 1,
+  sequence: 0,
+  coreFresh: false,
+};
+const deskWith = (known: ReadonlyArray<Sampler>, clock: { at: number }) =>
+  makeNewsDesk({
+    self: () => self,
+    incarnation: 1,
+    beatMs: 1000,
+    now: () => clock.at,
+    wall: () => clock.at,
+    followed: () => undefined,
+    known,
+  });
+
+test('a core that starts again tells the samplers that it knew, until they fall silent', async () => {
+  await file().keep([sampler('s1'), sampler('s2', { state: 'draining' }), sampler('s3', { state: 'gone' })]);
+  const clock = { at: 1000 };
+  const desk = deskWith(await file().read(), clock);
+  const ask = { self: { ...self, name: 'f1', role: 'front' as const }, incarnation: 0, revision: 0 };
+  const heard = await desk.follow({ ...ask, sequence: 0, trafficVersion: 0 });
+  expect(heard.samplers?.map(({ id, state }) => [id, state])).toEqual([
+    ['s1', 'ready'],
+    ['s2', 'draining'],
+  ]);
+  expect(desk.announce({ ...sampler('s1'), beat: 6, state: 'draining' })).toBe(true);
+  clock.at += 3300;
+  desk.tick();
+  expect(desk.sampler('s2')?.quiet).toBe(true);
+  clock.at += 90_000;
+  desk.tick();
+  expect(desk.sampler('s2')?.state).toBe('gone');
+});
+
+test('a damaged file is none, and one that could not be written is written at the next round', async () => {
+  expect(await file().read()).toEqual([]);
+  await file().keep([sampler('s1')]);
+  const bytes = readFileSync(join(folder, 'samplers'));
+  bytes[bytes.length - 9]! ^= 1;
+  writeFileSync(join(folder, 'samplers'), bytes);
+  expect(await file().read()).toEqual([]);
+
+  const whole = realDisk(folder);
+  let [failing, writes] = [true, 0];
+  const kept = makeSamplerFile({
+    ...whole,
+    write: (path, content) => {
+      writes += 1;
+      return failing ? (whole.read('nothing is there') as never) : whole.write(path, content);
+    },
+  });
+  await kept.keep([sampler('s1')]);
+  expect(await file().read()).toEqual([]);
+  failing = false;
+  await kept.keep([sampler('s1')]);
+  expect(await file().read()).toEqual([sampler('s1')]);
+  // A beat alone is not written again, a new version is.
+  await kept.keep([sampler('s1', { beat: 6 })]);
+  expect(writes).toBe(2);
+  await kept.keep([sampler('s1', { beat: 7, models: { m: 4 } })]);
+  expect(await file().read()).toEqual([sampler('s1', { beat: 7, models: { m: 4 } })]);
+});
