--- a/src/tests/orders.test.ts
+++ b/src/tests/orders.test.ts
@@ -324,7 +324,7 @@
     jest.advanceTimersByTime(100);
     expect(await ask()).toBe(4);
   });
-  test('are due when they have nearly taken as long as loads took of late; one that holds already is due at once', async () => {
+  test('are due when they took nearly as long as loads of late; one that holds already is due at once', async () => {
     const { ask, answer, loads } = make();
     const load = async (version: number, status: number, tookMs: number): Promise<void> => {
       await ask({ version });
