--- a/src/tests/clockJumps.test.ts
+++ b/src/tests/clockJumps.test.ts
@@ -3,24 +3,12 @@
 import type { Channels } from '../edge/channels.js';
 import { makeNewsDesk } from '../fleet/core/newsDesk.js';
 import { follow, type FollowAsk, type Follower } from '../fleet/follow.js';
-import type { Member } from '../fleet/fleetTypes.js';
 import { makeSamplerDirectory } from '../fleet/front/samplerDirectory.js';
 import { clockRuns } from './clockRuns.js';
+import { memberOf } from './memberOf.js';
 import { turns } from './turns.js';
 import { virtualSamplers } from './virtualSamplers.js';
 
-const member = (name: string, role: Member['role'], incarnation = 1): Member => ({
-  name,
-  role,
-  zone: 'a',
-  peer: `${name}:1`,
-  disk: '',
-  state: 'ready',
-  incarnation,
-  sequence: 0,
-  coreFresh: true,
-});
-
 // `performance` goes on by the timers alone; `Date.now` is what jumps.
 beforeEach(() => {
   jest.useFakeTimers({ now: 1_000_000, doNotFake: ['nextTick', 'setImmediate', 'queueMicrotask'] });
@@ -108,7 +96,7 @@
 
 describe('a core’s clock', () => {
   const desk = (name: string, wall: () => number, incarnation = 1) => {
-    const self = member(name, 'core', incarnation);
+    const self = memberOf(name, 'core', incarnation);
     const now = (): number => performance.now();
     const options = { self: () => self, incarnation, beatMs: 1000, now, wall, followed: () => undefined };
     return makeNewsDesk({ ...options, gatherMs: 0 });
@@ -116,7 +104,7 @@
   test('that jumps lets it doubt samplers and drop nodes by the time that passed alone', () => {
     let offset = 0;
     const at = desk('core-1', () => Date.now() + offset);
-    at.tell(member('front-1', 'front'));
+    at.tell(memberOf('front-1', 'front'));
     const { quiet: _quiet, born: _born, ...told } = virtualSamplers.announced('s');
     at.announce(told);
     const names = (): ReadonlyArray<string> => at.members().map(({ name }) => name);
@@ -149,7 +137,7 @@
       return answer;
     };
     const following: Follower = follow.make({
-      ...{ channels: { call } as unknown as Channels, seeds: ['core-1:1'], self: () => member('front-1', 'front') },
+      ...{ channels: { call } as unknown as Channels, seeds: ['core-1:1'], self: () => memberOf('front-1', 'front') },
       ...{ now: () => performance.now(), outlive: () => undefined },
     });
     await turns.until(() => following.view().samplers.has('old'));
--- a/src/tests/follow.test.ts
+++ b/src/tests/follow.test.ts
@@ -4,6 +4,7 @@
 import { makeNewsDesk, type NewsDesk } from '../fleet/core/newsDesk.js';
 import { follow, type Follower, type FollowAnswer, type FollowAsk } from '../fleet/follow.js';
 import type { Followed, Member, Sampler } from '../fleet/fleetTypes.js';
+import { memberOf } from './memberOf.js';
 import { turns } from './turns.js';
 
 type Told = Omit<Sampler, 'quiet' | 'born'>;
@@ -26,17 +27,6 @@
   born: 1,
   ...more,
 });
-const member = (name: string, role: Member['role'], incarnation = 1): Member => ({
-  name,
-  role,
-  zone: 'a',
-  peer: `${name}:1`,
-  disk: '',
-  state: 'ready',
-  incarnation,
-  sequence: 0,
-  coreFresh: true,
-});
 const now = (): number => Date.now();
 
 type Core = {
@@ -46,7 +36,7 @@
   readonly cut: () => void;
 };
 const core = (name: string, incarnation = 1): Core & { readonly follow: NewsDesk['follow'] } => {
-  const self = member(name, 'core', incarnation);
+  const self = memberOf(name, 'core', incarnation);
   let cut = (): void => undefined;
   const gone = new Promise<never>((_, reject) => (cut = () => reject(new Error('cut'))));
   gone.catch(() => undefined);
@@ -83,7 +73,7 @@
 };
 const followers: Follower[] = [];
 const follower = (cores: Map<string, ReturnType<typeof core>>, seeds: ReadonlyArray<string>): Follower => {
-  const self = member('front-1', 'front');
+  const self = memberOf('front-1', 'front');
   const made = follow.make({ channels: channelsTo(cores), seeds, self: () => self, now });
   followers.push(made);
   return made;
@@ -177,17 +167,17 @@
   test('drops a node that is silent, and takes no older life of a node', () => {
     const { desk } = core('core-1');
     const names = () => desk.members().map(({ name, incarnation }) => `${name}#${incarnation}`);
-    desk.tell(member('front-1', 'front', 5));
-    desk.tell(member('front-1', 'front', 4));
+    desk.tell(memberOf('front-1', 'front', 5));
+    desk.tell(memberOf('front-1', 'front', 4));
     expect(names()).toEqual(['core-1#1', 'front-1#5']);
     jest.advanceTimersByTime(2500);
     desk.tick();
     expect(names()).toEqual(['core-1#1']);
   });
   test('tells news that comes close together in one answer, and the first at once', async () => {
-    const self = member('core-1', 'core');
+    const self = memberOf('core-1', 'core');
     const desk = makeNewsDesk({ self: () => self, incarnation: 1, beatMs, now, wall: now, followed: () => undefined });
-    const ask = { self: member('front-1', 'front'), incarnation: 0, revision: 0, sequence: 0, trafficVersion: 0 };
+    const ask = { self: memberOf('front-1', 'front'), incarnation: 0, revision: 0, sequence: 0, trafficVersion: 0 };
     let { revision } = await desk.follow(ask);
     const answers: FollowAnswer[] = [];
     const again = async (): Promise<void> => {
@@ -210,7 +200,7 @@
   });
   test('answers a follower at once when there is news, and holds it otherwise', async () => {
     const { desk } = core('core-1');
-    const ask = { self: member('front-1', 'front'), incarnation: 0, revision: 0, sequence: 0, trafficVersion: 0 };
+    const ask = { self: memberOf('front-1', 'front'), incarnation: 0, revision: 0, sequence: 0, trafficVersion: 0 };
     const first = await desk.follow(ask);
     // What the first ask told of its node wakes those who wait.
     await turns.pass(3);
--- a/src/tests/incarnation.test.ts
+++ b/src/tests/incarnation.test.ts
@@ -2,23 +2,12 @@
 import type { Channels } from '../edge/channels.js';
 import { makeNewsDesk, type NewsDesk } from '../fleet/core/newsDesk.js';
 import { follow, type FollowAsk } from '../fleet/follow.js';
-import type { Member } from '../fleet/fleetTypes.js';
+import { memberOf } from './memberOf.js';
 
-const member = (name: string, role: Member['role'], incarnation: number): Member => ({
-  name,
-  role,
-  zone: 'a',
-  peer: `${name}:1`,
-  disk: '',
-  state: 'ready',
-  incarnation,
-  sequence: 0,
-  coreFresh: true,
-});
 const desks = (names: ReadonlyArray<string>): ReadonlyMap<string, NewsDesk> =>
   new Map(
     names.map((name) => {
-      const options = { self: () => member(name, 'core', 1), incarnation: 1, beatMs: 1000, now: () => Date.now() };
+      const options = { self: () => memberOf(name, 'core', 1), incarnation: 1, beatMs: 1000, now: () => Date.now() };
       return [`${name}:1`, makeNewsDesk({ ...options, wall: () => 1, followed: () => undefined, gatherMs: 0 })];
     }),
   );
@@ -32,7 +21,7 @@
 
 test('a life whose clock is behind that of the former one is known at once, at every core', async () => {
   const cores = desks(['core-1', 'core-2', 'core-3']);
-  for (const desk of cores.values()) desk.tell(member('store-1', 'store', 900_000));
+  for (const desk of cores.values()) desk.tell(memberOf('store-1', 'store', 900_000));
   let asks = 0;
   const call = (address: string, _name: string, body: unknown): Promise<unknown> => {
     asks += 1;
@@ -42,7 +31,7 @@
   const follower = follow.make({
     channels: { call } as unknown as Channels,
     seeds: [...cores.keys()],
-    self: () => ({ ...member('store-1', 'store', incarnation), disk: 'another' }),
+    self: () => ({ ...memberOf('store-1', 'store', incarnation), disk: 'another' }),
     outlive: (former) => (incarnation = Math.max(incarnation, former) + 1),
     now: () => Date.now(),
   });
@@ -58,9 +47,9 @@
 
 test('a core says so only of an older incarnation, and takes nothing of that word', () => {
   const [desk] = [...desks(['core-1']).values()];
-  expect(desk!.tell(member('front-1', 'front', 7))).toBeUndefined();
-  expect(desk!.tell(member('front-1', 'front', 7))).toBeUndefined();
-  expect(desk!.tell({ ...member('front-1', 'front', 6), state: 'leaving' })).toBe(7);
+  expect(desk!.tell(memberOf('front-1', 'front', 7))).toBeUndefined();
+  expect(desk!.tell(memberOf('front-1', 'front', 7))).toBeUndefined();
+  expect(desk!.tell({ ...memberOf('front-1', 'front', 6), state: 'leaving' })).toBe(7);
   expect(desk!.members().find(({ name }) => name === 'front-1')).toMatchObject({ incarnation: 7, state: 'ready' });
-  expect(desk!.tell(member('front-1', 'front', 8))).toBeUndefined();
+  expect(desk!.tell(memberOf('front-1', 'front', 8))).toBeUndefined();
 });
