Faults of samplers fade and rest them; streams, births and idle times heeded

Found beside them: the agent of node:http heeds a sampler's Keep-Alive time only where it has an idle time itself, so connections were kept until the sampler ended them, and a request could meet that end. The new test never ended without the mend; the board's model fails without its rule.

--- a/src/fleet/core/newsDesk.ts
+++ b/src/fleet/core/newsDesk.ts
@@ -71,7 +71,11 @@
     if (wait > 0) setTimeout(tellAll, wait);
     else setImmediate(tellAll);
   };
+  /** The wall clock may go back; the order in which lives were heard of may not. */
+  let lastBorn = Math.max(0, ...(options.known ?? []).map((sampler) => sampler.born));
+  const bornNow = (): number => Math.max(options.wall(), lastBorn + 1);
   const keep = (sampler: Sampler, heardAt: number | undefined, quietly = false): void => {
+    lastBorn = Math.max(lastBorn, sampler.born);
     if (!quietly) revision += 1;
     samplers.set(sampler.id, { sampler, revision: quietly ? samplers.get(sampler.id)!.revision : revision, heardAt });
     if (!quietly) wake();
@@ -165,7 +169,7 @@
         keep(known.sampler, now(), true);
         return false;
       }
-      const next: Sampler = { ...told, quiet: false, born: known?.sampler.born ?? options.wall() };
+      const next: Sampler = { ...told, quiet: false, born: known?.sampler.born ?? bornNow() };
       const { beat: _old, ...before } = known?.sampler ?? { beat: 0 };
       const { beat: _new, ...after } = next;
       const changed = JSON.stringify(before) !== JSON.stringify(after);
--- a/src/fleet/front/deskTypes.ts
+++ b/src/fleet/front/deskTypes.ts
@@ -15,6 +15,8 @@
   pulling: number;
   readonly modelBlocked: Map<string, number>;
   readonly learnt: Map<string, number>;
+  /** Rises with each item that the sampler answered by a fault of its own, falls with each whole text. */
+  faults: number;
 };
 /** What was last heard of a lot, and what is left of its work beside what is asked for already. */
 export type Known = {
@@ -24,3 +26,11 @@
   needed: number;
   spare: number;
 };
+/** What a front asks of a store for one of its samplers. */
+export type PullAsk = {
+  readonly lot: string;
+  readonly sampler: string;
+  readonly version: number;
+  readonly most: number;
+  readonly spare: boolean;
+};
--- a/src/fleet/front/desks.ts
+++ b/src/fleet/front/desks.ts
@@ -10,7 +10,7 @@
 import type { StoreCalls } from './storeCalls.js';
 import type { OrderLease } from './orderLease.js';
 import { makeWeightLoads } from './weightLoads.js';
-import type { Desk, Known, Running } from './deskTypes.js';
+import type { Desk, Known, PullAsk, Running } from './deskTypes.js';
 import { budget, type Running as Reckoned } from './budget.js';
 import { makeOwners } from './owners.js';
 import { makeRatings } from './ratings.js';
@@ -27,6 +27,9 @@
 const fillMs = 4;
 const suspectMs = 900;
 const turnedAwayMs = 60;
+/** How long a sampler rests after a fault; doubled with each more. */
+const faultMs = 150;
+const faultsMost = 6;
 
 const averaged = (known: number | undefined, seen: number): number =>
   known === undefined ? seen : known + 0.1 * (seen - known);
@@ -116,10 +119,13 @@
     if (end.kind === 'whole') {
       runMs.set(model, averaged(runMs.get(model), now() - began));
       madeTokens.set(model, made);
+      desk.faults = Math.max(0, desk.faults - 1);
       directory.ended(desk.sampler.id, undefined, 0);
       return rate(key, entry, end.text, end.versions);
     }
-    directory.ended(desk.sampler.id, undefined, end.kind === 'cut' && end.suspect ? suspectMs : 0);
+    const restMs = end.kind === 'fault' ? faultMs * 2 ** desk.faults : 0;
+    if (end.kind === 'fault') desk.faults = Math.min(faultsMost, desk.faults + 1);
+    directory.ended(desk.sampler.id, undefined, end.kind === 'cut' && end.suspect ? suspectMs : restMs);
     if (end.kind === 'notRun') {
       if (end.status === 421) desk.learnt.delete(model);
       desk.modelBlocked.set(model, now() + turnedAwayMs);
@@ -209,10 +215,7 @@
   const fill = (): void => {
     if (leaving) return;
     const at = now();
-    const byStore = new Map<
-      string,
-      Array<{ lot: string; sampler: string; version: number; most: number; spare: boolean }>
-    >();
+    const byStore = new Map<string, PullAsk[]>();
     const lots = [...known.values()].filter(leased);
     const urgency = ({ advert, at: heard }: Known): number => {
       const left = advert.leftMs - (at - heard);
@@ -220,7 +223,8 @@
     };
     lots.sort((one, other) => urgency(one) - urgency(other));
     for (const desk of desks.values()) {
-      let free = desk.sampler.slots - desk.running.size - desk.pulling;
+      // One item tells whether a sampler with several faults is well again.
+      let free = (desk.faults > 1 ? 1 : desk.sampler.slots) - desk.running.size - desk.pulling;
       const { id, state } = desk.sampler;
       if (free <= 0 || state !== 'ready' || outlived.has(id) || !directory.usable(id)) continue;
       const cacheTokens = serviceOf(desk)?.cacheTokens ?? 0;
@@ -243,24 +247,21 @@
           // While a version is being loaded, one item tells whether it is there.
           const footprint = advert.prompt + (madeTokens.get(advert.model) ?? 0);
           const room = budget.fits(cacheTokens, held, footprint) - desk.pulling;
-          const most = Math.min(free, wanted, room, coming === undefined ? free : 1);
-          if (most <= 0) continue;
+          const count = Math.min(free, wanted, room, coming === undefined ? free : 1);
+          if (count <= 0) continue;
           if (coming !== undefined) desk.modelBlocked.set(advert.model, at + turnedAwayMs);
-          if (spare) entry.spare -= most;
-          else entry.needed -= most;
-          free -= most;
-          desk.pulling += most;
+          if (spare) entry.spare -= count;
+          else entry.needed -= count;
+          free -= count;
+          desk.pulling += count;
           const asks = byStore.get(entry.store) ?? [];
-          asks.push({ lot: advert.lot, sampler: desk.sampler.id, version, most, spare });
+          asks.push({ lot: advert.lot, sampler: desk.sampler.id, version, most: count, spare });
           byStore.set(entry.store, asks);
         }
     }
     for (const [store, asks] of byStore) void pull(store, asks);
   };
-  const pull = async (
-    store: string,
-    asks: ReadonlyArray<{ lot: string; sampler: string; version: number; most: number; spare: boolean }>,
-  ): Promise<void> => {
+  const pull = async (store: string, asks: ReadonlyArray<PullAsk>): Promise<void> => {
     const member = view().members.get(store);
     const over = (): void => {
       for (const ask of asks) {
@@ -354,6 +355,7 @@
           pulling: 0,
           modelBlocked: new Map(),
           learnt: new Map(),
+          faults: 0,
         });
       else if (!mine && desk && sampler.state === 'gone') {
         for (const key of desk.running) {
--- a/src/fleet/front/ordinaryAsks.ts
+++ b/src/fleet/front/ordinaryAsks.ts
@@ -98,6 +98,8 @@
   const tried = new Set<string>();
   const service = traffic.serviceFor(binding, tools.chance());
   let doubtful = false;
+  /** Kept connections that a sampler had forgotten don't use up attempts, as long as they are few. */
+  let staleSends = 2;
   let open: { readonly abort: () => void } | undefined;
   const refuse = (reason: string): void => {
     const status = doubtful ? 504 : 503;
@@ -139,8 +141,13 @@
         if (passing) return void response.end();
         next();
       },
-      failed: (reason, sent) => {
-        directory.ended(sampler.id, undefined, 400);
+      failed: (reason, sent, stale) => {
+        const again = stale && binding.resumable && staleSends > 0;
+        if (again) {
+          staleSends -= 1;
+          tried.delete(sampler.id);
+        }
+        directory.ended(sampler.id, undefined, stale ? 0 : 400);
         if (passing) return void response.destroy();
         if (sent) doubtful = true;
         if (sent && !binding.resumable) return refuse(reason);
--- a/src/fleet/front/samplerDirectory.ts
+++ b/src/fleet/front/samplerDirectory.ts
@@ -13,7 +13,7 @@
   readonly usable: (id: string) => boolean;
 };
 
-type Seen = { out: number; ewmaMs: number; awayUntil: number; okAt: number; faults: number };
+type Seen = { out: number; ewmaMs: number; awayUntil: number; okAt: number; faults: number; faultAt: number };
 
 const freshMs = 30;
 const foreignCost = 1.25;
@@ -22,6 +22,8 @@
 /** A sampler that fails part of its requests costs more, as its share of faults of late has it. */
 const faultCost = 8;
 const faultSlowdown = 0.1;
+/** The share of faults halves in this time, so that a sampler that is well again is found out. */
+const faultHalfMs = 3000;
 const slowdown = 0.25;
 
 /** Makes a front's directory. */
@@ -59,12 +61,23 @@
   const seenOf = (id: string): Seen => {
     const known = seen.get(id);
     if (known) return known;
-    const fresh: Seen = { out: 0, ewmaMs: freshMs, awayUntil: 0, okAt: 0, faults: 0 };
+    const fresh: Seen = { out: 0, ewmaMs: usualMs(id), awayUntil: 0, okAt: 0, faults: 0, faultAt: 0 };
     seen.set(id, fresh);
     return fresh;
   };
+  /** What a sampler takes of which nothing is known yet: what the quickest of its service takes. */
+  const usualMs = (id: string): number => {
+    const service = options.view().samplers.get(id)?.service ?? '';
+    const known = of(service).flatMap((sampler) => {
+      const peer = seen.get(sampler.id);
+      return peer && peer.okAt > 0 ? [peer.ewmaMs] : [];
+    });
+    return known.length > 0 ? Math.min(...known) : freshMs;
+  };
+  const faultsOf = ({ faults, faultAt }: Seen): number => faults * 0.5 ** ((now() - faultAt) / faultHalfMs);
   const cost = (sampler: Sampler): number => {
-    const { out, ewmaMs, awayUntil, okAt, faults } = seenOf(sampler.id);
+    const known = seenOf(sampler.id);
+    const { out, ewmaMs, awayUntil, okAt } = known;
     const full = out >= sampler.slots ? 3 : 1;
     const foreign = sampler.zone === options.zone ? 1 : foreignCost;
     const quiet = sampler.quiet && now() - okAt > 1500 ? quietCost : 1;
@@ -78,7 +91,7 @@
       quiet *
       away *
       connect *
-      (1 + faultCost * faults)
+      (1 + faultCost * faultsOf(known))
     );
   };
   return {
@@ -102,11 +115,13 @@
       if (tookMs !== undefined) {
         known.ewmaMs += slowdown * (tookMs - known.ewmaMs);
         known.okAt = now();
-        known.faults -= faultSlowdown * known.faults;
+        known.faults *= 1 - faultSlowdown;
         known.awayUntil = 0;
       } else if (awayMs > 0) {
         known.awayUntil = now() + awayMs;
-        known.faults += faultSlowdown * (1 - known.faults);
+        const faults = faultsOf(known);
+        known.faults = faults + faultSlowdown * (1 - faults);
+        known.faultAt = now();
       }
     },
     usable: (id) => now() >= seenOf(id).awayUntil,
--- a/src/fleet/samplerClient.ts
+++ b/src/fleet/samplerClient.ts
@@ -33,6 +33,8 @@
 };
 
 const connectMs = 700;
+/** Only with an idle time of its own does the agent heed the shorter one that a sampler names. */
+const idleMostMs = 120_000;
 
 function dropped(this: Socket): void {
   this.destroy();
@@ -52,6 +54,7 @@
       maxSockets: channelsMost,
       maxFreeSockets: channelsMost,
       scheduling: 'lifo',
+      timeout: idleMostMs,
     });
     // Bytes on an idle connection belong to no request: it goes.
     agent.on('free', (socket: Socket) => void socket.on('data', dropped));
--- a/src/fleet/store/lotBoard.ts
+++ b/src/fleet/store/lotBoard.ts
@@ -9,6 +9,8 @@
   pausedAt: number;
   outAt: number;
   faults: number;
+  /** The sampler that failed it last gets it again only where no other takes it for a while. */
+  failedBy: string;
 };
 type Group = {
   readonly id: string;
@@ -69,6 +71,7 @@
       pausedAt: 0,
       outAt: 0,
       faults: 0,
+      failedBy: '',
     };
     seats.set(item.id, seat);
     const group = byGroup.get(item.group);
@@ -91,6 +94,7 @@
 
   const fits = (seat: Seat, sampler: string, version: number): boolean => {
     const { partial } = seat;
+    if (seat.failedBy === sampler && now() - seat.pausedAt < heldMs) return false;
     if (!partial) return true;
     if (body.single && partial.version !== version) return now() - seat.pausedAt > heldMs;
     return seat.sampler === sampler || now() - seat.pausedAt > heldMs;
@@ -123,6 +127,7 @@
     group.out -= 1;
     seat.state = 'waiting';
     seat.front = '';
+    seat.failedBy = '';
     seat.partial = partial && partial.events.length > 0 ? partial : undefined;
     seat.pausedAt = now();
     group.paused += 1;
@@ -171,6 +176,7 @@
       if (seat.state !== 'out' || seat.front !== front) return seat.faults;
       if (fault) seat.faults += 1;
       freed(seat, partial);
+      seat.failedBy = fault ? seat.sampler : '';
       return seat.faults;
     },
     claim: (id, front, sampler) => {
--- a/src/tests/lotBoard.test.ts
+++ b/src/tests/lotBoard.test.ts
@@ -17,6 +17,7 @@
   begun: boolean;
   outAt: number;
   faults: number;
+  failed: { readonly by: string; readonly at: number } | undefined;
 };
 
 const bodyOf = (sizes: ReadonlyArray<number>, wanted: number, single: boolean): LotBody => ({
@@ -55,6 +56,7 @@
     begun: false,
     outAt: 0,
     faults: 0,
+    failed: undefined,
   }));
   const groups = [...new Set(seats.map((seat) => seat.group))];
   const of = (group: string): ReadonlyArray<Seat> => seats.filter((seat) => seat.group === group);
@@ -81,7 +83,8 @@
 };
 type Model = ReturnType<typeof makeModel>;
 
-const freed = (seat: Seat): void => void Object.assign(seat, { state: 'waiting', front: '', begun: true });
+const freed = (seat: Seat): void =>
+  void Object.assign(seat, { state: 'waiting', front: '', begun: true, failed: undefined });
 
 /** Judges one pull against the model, then notes what it granted. */
 const judgePull = (
@@ -101,6 +104,7 @@
   for (const { item, partial } of grants) {
     const seat = model.seat(item.id);
     expect(seat.state).toBe('waiting');
+    if (seat.failed?.by === ask.sampler) expect(at - seat.failed.at).toBeGreaterThanOrEqual(heldMs);
     if (partial) expect(seat.begun).toBe(true);
     if (partial && body.single) expect(partial.version).toBe(ask.version);
     // What was broken off goes on before anything of groups that nobody began.
@@ -193,13 +197,22 @@
       const seat = model.seat(idOf(step.item));
       board.claim(seat.id, fronts[step.front]!, samplers[step.sampler]!);
       if (seat.state === 'waiting')
-        Object.assign(seat, { state: 'out', front: fronts[step.front], begun: false, outAt: time });
+        Object.assign(seat, {
+          state: 'out',
+          front: fronts[step.front],
+          sampler: samplers[step.sampler],
+          begun: false,
+          outAt: time,
+        });
     }
     if (step.kind === 'back') {
       const seat = model.seat(idOf(step.item));
       const partial = step.part === 0 ? undefined : partialOf(step.part);
       board.back(seat.id, fronts[step.front]!, partial, step.fault);
-      if (seat.state === 'out' && seat.front === fronts[step.front]) freed(seat);
+      if (seat.state === 'out' && seat.front === fronts[step.front]) {
+        freed(seat);
+        if (step.fault) seat.failed = { by: seat.sampler, at: time };
+      }
     }
     if (step.kind === 'release') {
       const holds = step.holds && new Set(step.holds.map(idOf));
--- a/src/tests/staleConnections.test.ts
+++ b/src/tests/staleConnections.test.ts
@@ -17,10 +17,13 @@
 const forgetful = async () => {
   const forgotten = new Set<number>();
   const ran: string[] = [];
+  const told = { keepAlive: '' };
   const sampler = await standInSampler((ask: StandInAsk) => {
     if (forgotten.has(ask.connection)) return void ask.socket.resetAndDestroy();
     ran.push(ask.attempt);
-    const head = `HTTP/1.1 200 OK\r\nattempt: ${ask.attempt}\r\nstamp: s.1\r\ntransfer-encoding: chunked\r\n\r\n`;
+    const keep = told.keepAlive && `keep-alive: ${told.keepAlive}\r\n`;
+    const said = `attempt: ${ask.attempt}\r\nstamp: s.1\r\n${keep}`;
+    const head = `HTTP/1.1 200 OK\r\n${said}transfer-encoding: chunked\r\n\r\n`;
     ask.socket.write(`${head}a\r\nanswer to \r\n${ask.attempt.length.toString(16)}\r\n${ask.attempt}\r\n0\r\n\r\n`);
   });
   closing.push(sampler.close);
@@ -28,6 +31,7 @@
   return {
     sampler,
     ran,
+    told,
     forget: () => {
       for (const connection of open()) forgotten.add(connection);
     },
@@ -136,3 +140,14 @@
     expect([sends('q'), runs('q'), used.sampler.connections()]).toEqual([1, 1, 2]);
   });
 });
+
+test('a kept connection ends before the time that its sampler names for idle ones', async () => {
+  const { front, used, sends } = await kept(1, { kind: 'onceOnly' });
+  used.told.keepAlive = 'timeout=2';
+  expect(await front.ask('q')).toEqual(answered('q'));
+  await turns.until(() => front.client.idle(used.sampler.address));
+  // The sampler has not ended it, and never would.
+  await turns.until(() => !front.client.idle(used.sampler.address));
+  expect(await front.ask('r')).toEqual(answered('r'));
+  expect([sends('q'), sends('r'), used.sampler.connections()]).toEqual([1, 1, 2]);
+});
