What can't be sent again goes out on no connection that may be forgotten

A sampler may forget an idle connection without notice and resets what is sent on it next. Once-only requests and streams that can't be taken up now use a kept connection only where it was idle for under 2 s, or under half the time after which its address had forgotten another within the last minute; the choice of a sampler counts connections so. Repeatable requests use any and find the forgotten ones out.

--- a/src/fleet/front/attempts.ts
+++ b/src/fleet/front/attempts.ts
@@ -1,6 +1,6 @@
 import type { Dialect, SamplerCall, SamplerHead } from '../dialect.js';
 import type { Sampler } from '../fleetTypes.js';
-import type { SamplerClient } from '../samplerClient.js';
+import type { CallEvents, SamplerClient } from '../samplerClient.js';
 import type { SamplerDirectory } from './samplerDirectory.js';
 
 /** How a request with a short answer ended. */
@@ -94,7 +94,7 @@
     }
   };
   const send = (): boolean => {
-    const sampler = directory.choose(rules.service, tried);
+    const sampler = directory.choose(rules.service, tried, !rules.repeatable);
     if (!sampler || !rules.allowed()) return false;
     tried.add(sampler.id);
     sends += 1;
@@ -114,7 +114,7 @@
       }
       next();
     };
-    const call = client.call(sampler.address, rules.call(sampler, left()), left(), {
+    const events: CallEvents = {
       head: (seen, message) => {
         status = seen;
         raw = message.rawHeaders;
@@ -148,7 +148,8 @@
         }
         failed(reason, sent, stale ? 0 : awayMs);
       },
-    });
+    };
+    const call = client.call(sampler.address, rules.call(sampler, left()), left(), events, !rules.repeatable);
     open.set(place, call);
     if (rules.repeatable && sends < rules.most && hedge === undefined) {
       const after = Math.max(rules.aimMs * hedgeShare, 0);
--- a/src/fleet/front/ordinaryAsks.ts
+++ b/src/fleet/front/ordinaryAsks.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AskHead, Dialect, Reply } from '../dialect.js';
 import type { HostBinding, Sampler } from '../fleetTypes.js';
-import type { SamplerClient } from '../samplerClient.js';
+import type { CallEvents, SamplerClient } from '../samplerClient.js';
 import { traffic } from '../traffic.js';
 import { attempts } from './attempts.js';
 import type { SamplerDirectory } from './samplerDirectory.js';
@@ -107,7 +107,7 @@
   };
   const next = (): void => {
     if (response.destroyed) return;
-    const sampler = tried.size < binding.attempts ? directory.choose(service, tried) : undefined;
+    const sampler = tried.size < binding.attempts ? directory.choose(service, tried, !binding.resumable) : undefined;
     if (!sampler || now() >= deadline) return refuse('no sampler took it');
     tried.add(sampler.id);
     directory.began(sampler.id);
@@ -115,7 +115,7 @@
     let passing = false;
     let notRun = false;
     const call = callOf(tools, message, body, head.resumeAfter)(sampler, deadline - now());
-    open = client.call(sampler.address, call, deadline - now(), {
+    const events: CallEvents = {
       head: (status, answered) => {
         const told = dialect.samplerHead(answered.headers);
         notRun = told.notRun;
@@ -153,7 +153,8 @@
         if (sent && !binding.resumable) return refuse(reason);
         next();
       },
-    });
+    };
+    open = client.call(sampler.address, call, deadline - now(), events, !binding.resumable);
   };
   response.on('close', () => {
     if (!response.writableEnded) open?.abort();
--- a/src/fleet/front/samplerDirectory.ts
+++ b/src/fleet/front/samplerDirectory.ts
@@ -3,8 +3,8 @@
 
 /** Which sampler takes a request, by what is announced and by what this front has seen of each. */
 export type SamplerDirectory = {
-  /** The best sampler of a service that was not tried yet. */
-  readonly choose: (service: string, tried: ReadonlySet<string>) => Sampler | undefined;
+  /** The best sampler of a service that was not tried yet; `once` where the request can't be sent again. */
+  readonly choose: (service: string, tried: ReadonlySet<string>, once?: boolean) => Sampler | undefined;
   readonly find: (id: string) => Sampler | undefined;
   readonly of: (service: string) => ReadonlyArray<Sampler>;
   readonly began: (id: string) => void;
@@ -33,7 +33,7 @@
   readonly now: () => number;
   readonly chance: () => number;
   /** Whether a call to an address needs no new connection. */
-  readonly idle: (address: string) => boolean;
+  readonly idle: (address: string, once: boolean) => boolean;
 }): SamplerDirectory => {
   const { now } = options;
   const seen = new Map<string, Seen>();
@@ -75,13 +75,13 @@
     return known.length > 0 ? Math.min(...known) : freshMs;
   };
   const faultsOf = ({ faults, faultAt }: Seen): number => faults * 0.5 ** ((now() - faultAt) / faultHalfMs);
-  const cost = (sampler: Sampler): number => {
+  const cost = (sampler: Sampler, once: boolean): number => {
     const known = seenOf(sampler.id);
     const { out, ewmaMs, awayUntil, okAt } = known;
     const full = out >= sampler.slots ? 3 : 1;
     const foreign = sampler.zone === options.zone ? 1 : foreignCost;
     const quiet = sampler.quiet && now() - okAt > 1500 ? quietCost : 1;
-    const connect = options.idle(sampler.address) ? 1 : connectCost;
+    const connect = options.idle(sampler.address, once) ? 1 : connectCost;
     const away = now() < awayUntil ? 50 : 1;
     return (
       (ewmaMs + 5) *
@@ -97,11 +97,11 @@
   return {
     of,
     find: (id) => options.view().samplers.get(id),
-    choose: (service, tried) => {
+    choose: (service, tried, once = false) => {
       let best: { sampler: Sampler; cost: number } | undefined;
       for (const sampler of of(service)) {
         if (sampler.state !== 'ready' || tried.has(sampler.id)) continue;
-        const weighed = cost(sampler) * (1 + 0.05 * options.chance());
+        const weighed = cost(sampler, once) * (1 + 0.05 * options.chance());
         if (!best || weighed < best.cost) best = { sampler, cost: weighed };
       }
       return best?.sampler;
--- a/src/fleet/samplerClient.ts
+++ b/src/fleet/samplerClient.ts
@@ -22,9 +22,16 @@
 
 /** Calls to samplers over connections that are kept. */
 export type SamplerClient = {
-  readonly call: (address: string, call: SamplerCall, timeLeftMs: number, events: CallEvents) => OpenCall;
-  /** True when a kept connection to an address stands idle. */
-  readonly idle: (address: string) => boolean;
+  /** With `once`, no kept connection that may be forgotten already is used. */
+  readonly call: (
+    address: string,
+    call: SamplerCall,
+    timeLeftMs: number,
+    events: CallEvents,
+    once?: boolean,
+  ) => OpenCall;
+  /** True when a kept connection to an address stands idle; with `once`, one that is surely not forgotten. */
+  readonly idle: (address: string, once?: boolean) => boolean;
   /** Closes the idle connections to an address that is not used any more. */
   readonly forget: (address: string) => void;
   /** Closes all connections. */
@@ -35,14 +42,23 @@
 const connectMs = 700;
 /** Only with an idle time of its own does the agent heed the shorter one that a sampler names. */
 const idleMostMs = 120_000;
+/** A connection that was idle for less is taken to be remembered. */
+const rememberedMs = 2000;
+/** For so long a connection that was forgotten sooner counts against others to the same address. */
+const warnedMs = 60_000;
 
 function dropped(this: Socket): void {
   this.destroy();
 }
 const lateReason = 'no answer in time';
 
+type Warning = { readonly at: number; readonly idleMs: number };
+
 /** Makes a process's client; a connection on which anything was odd is never used again. */
-export const makeSamplerClient = (channelsMost: number): SamplerClient => {
+export const makeSamplerClient = (channelsMost: number, now: () => number = () => performance.now()): SamplerClient => {
+  const idleSince = new WeakMap<Socket, number>();
+  /** The shortest idle time after which an address had forgotten a connection, of late. */
+  const warnings = new Map<string, Warning>();
   const agents = new Map<string, Agent>();
   let calls = 0;
   let connections = 0;
@@ -57,17 +73,35 @@
       timeout: idleMostMs,
     });
     // Bytes on an idle connection belong to no request: it goes.
-    agent.on('free', (socket: Socket) => void socket.on('data', dropped));
+    agent.on('free', (socket: Socket) => {
+      socket.on('data', dropped);
+      idleSince.set(socket, now());
+    });
     agents.set(address, agent);
     return agent;
   };
+  const idleOf = (address: string): ReadonlyArray<Socket> =>
+    Object.values(agents.get(address)?.freeSockets ?? {}).flatMap((sockets) => sockets ?? []);
+  const remembered = (address: string, socket: Socket): boolean => {
+    const warning = warnings.get(address);
+    const warned = warning !== undefined && now() - warning.at < warnedMs;
+    const mostMs = warned ? Math.min(rememberedMs, warning.idleMs / 2) : rememberedMs;
+    return now() - (idleSince.get(socket) ?? -Infinity) <= mostMs;
+  };
+  const warn = (address: string, idleMs: number): void => {
+    const known = warnings.get(address);
+    const before = known && now() - known.at < warnedMs ? known.idleMs : Infinity;
+    warnings.set(address, { at: now(), idleMs: Math.min(before, idleMs) });
+  };
   return {
-    call: (address, { method, path, headers, body }, timeLeftMs, events) => {
+    call: (address, { method, path, headers, body }, timeLeftMs, events, once = false) => {
       calls += 1;
+      if (once) for (const socket of idleOf(address)) if (!remembered(address, socket)) socket.destroy();
       const colon = address.lastIndexOf(':');
       let over = false;
       let connected = false;
       let [reused, begun] = [false, false];
+      let idleMs = 0;
       let connecting: NodeJS.Timeout | undefined;
       const finish = (): boolean => {
         if (over) return false;
@@ -97,7 +131,9 @@
         return { abort: () => void finish() };
       }
       const fail = (reason: string): void => {
-        if (finish()) events.failed(reason, connected, reused && !begun && reason !== lateReason);
+        const stale = reused && !begun && reason !== lateReason;
+        if (stale && !over) warn(address, idleMs);
+        if (finish()) events.failed(reason, connected, stale);
         sent.destroy();
       };
       sent.on('socket', (socket) => {
@@ -105,6 +141,7 @@
         if (!socket.connecting) {
           connected = true;
           reused = true;
+          idleMs = now() - (idleSince.get(socket) ?? now());
           return;
         }
         connections += 1;
@@ -140,9 +177,9 @@
         },
       };
     },
-    idle: (address) =>
-      Object.values(agents.get(address)?.freeSockets ?? {}).some((sockets) => (sockets?.length ?? 0) > 0),
+    idle: (address, once = false) => idleOf(address).some((socket) => !once || remembered(address, socket)),
     forget: (address) => {
+      warnings.delete(address);
       agents.get(address)?.destroy();
       agents.delete(address);
     },
--- a/src/tests/loopbackFront.ts
+++ b/src/tests/loopbackFront.ts
@@ -38,16 +38,19 @@
 });
 
 /** Serves callers by one binding on a port that the system picks, with the product's own serving of requests. */
-const begin = async (samplers: ReadonlyArray<Sampler>, more: Partial<HostBinding>) => {
+const begin = async (
+  samplers: ReadonlyArray<Sampler>,
+  more: Partial<HostBinding>,
+  now: () => number = () => performance.now(),
+) => {
   const binding = bindingOf(more);
   const view: FleetView = {
     members: new Map(),
     samplers: new Map(samplers.map((sampler) => [sampler.id, sampler])),
     followed: undefined,
   };
-  const now = (): number => performance.now();
   const chance = (): number => 0;
-  const client = makeSamplerClient(20);
+  const client = makeSamplerClient(20, now);
   const directory = makeSamplerDirectory({ view: () => view, zone: 'a', now, chance, idle: client.idle });
   const tools = { client, directory, dialect, now, chance };
   const serve = binding.kind === 'streaming' ? ordinaryAsks.stream : ordinaryAsks.answer;
--- a/src/tests/staleConnections.test.ts
+++ b/src/tests/staleConnections.test.ts
@@ -42,12 +42,13 @@
   };
 };
 /** A front that has kept a connection to each of so many samplers. */
-const kept = async (count: number, more: Partial<HostBinding>) => {
+const kept = async (count: number, more: Partial<HostBinding>, now?: () => number) => {
   const samplers: Array<Awaited<ReturnType<typeof forgetful>>> = [];
   for (let place = 0; place < count; place += 1) samplers.push(await forgetful());
   const front = await loopbackFront.begin(
     samplers.map(({ sampler }, place) => virtualSamplers.announced(`s${place}`, { address: sampler.address })),
     more,
+    now,
   );
   closing.push(front.close);
   expect(await front.ask('first')).toEqual({ status: 200, body: 'answer to first', broken: false });
@@ -151,3 +152,66 @@
   expect(await front.ask('r')).toEqual(answered('r'));
   expect([sends('q'), sends('r'), used.sampler.connections()]).toEqual([1, 1, 2]);
 });
+
+describe('a kept connection that may be forgotten', () => {
+  const clock = () => {
+    const state = { skipped: 0 };
+    return { state, now: (): number => performance.now() + state.skipped };
+  };
+  test.each([
+    ['a once-only request', { kind: 'onceOnly' }],
+    ['a stream that can’t be taken up', { kind: 'streaming', resumable: false }],
+  ] as const)('is not used for %s', async (_what, more) => {
+    const { state, now } = clock();
+    const { front, used, runs, sends } = await kept(1, more, now);
+    used.forget();
+    state.skipped = 2000;
+    expect(await front.ask('q')).toEqual(answered('q'));
+    expect([sends('q'), runs('q'), used.sampler.connections()]).toEqual([1, 1, 2]);
+  });
+  test.each([
+    ['a repeatable request', { kind: 'idempotent' }],
+    ['a stream that can be taken up', { kind: 'streaming', resumable: true }],
+  ] as const)('serves %s', async (_what, more) => {
+    const { state, now } = clock();
+    const { front, used } = await kept(1, more, now);
+    state.skipped = 2000;
+    expect(await front.ask('q')).toEqual(answered('q'));
+    expect(used.sampler.connections()).toBe(1);
+  });
+  test('is told by how soon its sampler forgot another, for a minute', async () => {
+    const { state, now } = clock();
+    const sampler = await forgetful();
+    const client = makeSamplerClient(4, now);
+    closing.push(client.close);
+    const { address } = sampler.sampler;
+    const ask = async (attempt: string, once: boolean): Promise<string> => {
+      const said = await new Promise<string>((resolve) => {
+        const call = { method: 'POST', path: '/', headers: { attempt, 'content-length': '0' }, body: Buffer.from('') };
+        const events = {
+          head: () => undefined,
+          data: () => undefined,
+          ended: () => resolve('ended'),
+          failed: () => resolve('failed'),
+        };
+        client.call(address, call, 60_000, events, once);
+      });
+      if (said === 'ended') await turns.until(() => client.idle(address));
+      return said;
+    };
+    expect(await ask('a', true)).toBe('ended');
+    state.skipped += 1000;
+    expect(client.idle(address, true)).toBe(true);
+    sampler.forget();
+    expect(await ask('b', false)).toBe('failed');
+    expect(await ask('c', true)).toBe('ended');
+    state.skipped += 900;
+    expect([client.idle(address), client.idle(address, true)]).toEqual([true, false]);
+    sampler.forget();
+    expect(await ask('d', true)).toBe('ended');
+    state.skipped += 59_000;
+    expect(await ask('e', false)).toBe('ended');
+    state.skipped += 900;
+    expect(client.idle(address, true)).toBe(true);
+  });
+});
