Copies of a lot are spread over zones, so a zone that is lost loses no lot

Placement went by rendezvous alone: of 12 lots with three copies on six stores in three zones some always had two copies in the zone that went. Views of stores now hold each store's zone, and no zone gets more than its share of a lot's copies while the others have stores enough; views noted before keep the old placement until they change. A new voter comes from the zone with the fewest. Sets are reckoned once for each view.

--- a/src/core/register.ts
+++ b/src/core/register.ts
@@ -182,7 +182,8 @@
       new Map(
         nodes.filter((node) => node.roles.includes(role) && node.disk !== '').map((node) => [node.name, node.disk]),
       );
-    return { now: time.wall(), cores: of('core'), stores: of('store') };
+    const zones = new Map(nodes.map((node) => [node.name, node.domain]));
+    return { now: time.wall(), cores: of('core'), stores: of('store'), zones };
   };
 
   const propose = (
--- a/src/fleet/core/steward.ts
+++ b/src/fleet/core/steward.ts
@@ -110,17 +110,24 @@
     const others = cores.filter(
       (core) => core.state === 'ready' && !configuration.voters.some((each) => each.name === core.name),
     );
+    /** Those first whose zones have the fewest voters. */
+    const spread = (list: ReadonlyArray<Member>): ReadonlyArray<Member> => {
+      const inZone = ({ zone }: Member): number =>
+        cores.filter((core) => core.zone === zone && configuration.voters.some((each) => each.name === core.name))
+          .length;
+      return [...list].sort((one, other) => inZone(one) - inZone(other));
+    };
     for (const voter of configuration.voters) {
       const same = cores.find((core) => core.name === voter.name);
       if (same && same.disk === voter.disk) continue;
       if (absentFor(voter) < voterGoneMs && !same) continue;
-      const successor = same ?? others[0];
+      const successor = same ?? spread(others)[0];
       if (!successor) continue;
       await submit('replace_voter', { voters: { remove: voter.name, add: successor.name } }, sequence);
       return true;
     }
     if (configuration.voters.length >= copies || others.length === 0) return false;
-    await submit('add_voter', { voters: { add: others[0]!.name } }, sequence);
+    await submit('add_voter', { voters: { add: spread(others)[0]!.name } }, sequence);
     return true;
   };
 
--- a/src/fleet/fleetTypes.ts
+++ b/src/fleet/fleetTypes.ts
@@ -1,4 +1,5 @@
 import type { Voter } from '../core/paxos.js';
+import type { StoreSeat } from '../shared/configuration.js';
 import type { Text } from '../shared/texts.js';
 
 /** The class of work that a machine does. */
@@ -118,8 +119,8 @@
 /** The store machines that keep lots. */
 export type StoreView = {
   readonly epoch: number;
-  readonly current: ReadonlyArray<Voter>;
-  readonly previous: ReadonlyArray<Voter>;
+  readonly current: ReadonlyArray<StoreSeat>;
+  readonly previous: ReadonlyArray<StoreSeat>;
 };
 
 /** What nodes follow of the register. */
--- a/src/fleet/store/lotCopies.ts
+++ b/src/fleet/store/lotCopies.ts
@@ -76,7 +76,14 @@
 /** Makes a store's view of the copies. */
 export const makeLotCopies = (options: LeaderOptions): LotCopies => {
   const { self, channels, view, member } = options;
-  const sets = (lot: string) => placement.sets(lot, view(), options.copies);
+  let [known, knownOf]: [Map<string, ReturnType<typeof placement.sets>>, unknown] = [new Map(), undefined];
+  const sets = (lot: string): ReturnType<typeof placement.sets> => {
+    const stores = view();
+    if (stores !== knownOf) [known, knownOf] = [new Map(), stores];
+    const found = known.get(lot) ?? placement.sets(lot, stores, options.copies);
+    known.set(lot, found);
+    return found;
+  };
   const address = (voter: Voter): string | undefined => {
     const there = member(voter.name);
     return there && there.disk === voter.disk ? there.peer : undefined;
--- a/src/fleet/store/placement.ts
+++ b/src/fleet/store/placement.ts
@@ -1,12 +1,25 @@
 import type { Voter } from '../../core/paxos.js';
+import type { StoreSeat } from '../../shared/configuration.js';
 import { rendezvous } from '../../shared/rendezvous.js';
 import type { StoreView } from '../fleetTypes.js';
 
-const setOf = (lot: string, members: ReadonlyArray<Voter>, copies: number): ReadonlyArray<Voter> => {
+/** The copies by rendezvous, no zone with more than its share of them where the zones have stores enough. */
+const setOf = (lot: string, members: ReadonlyArray<StoreSeat>, copies: number): ReadonlyArray<StoreSeat> => {
   const byName = new Map(members.map((member) => [member.name, member]));
-  return rendezvous(lot, [...byName.keys()])
-    .slice(0, copies)
-    .map((name) => byName.get(name)!);
+  const ranked = rendezvous(lot, [...byName.keys()]).map((name) => byName.get(name)!);
+  const counts = new Map<string, number>();
+  for (const { zone = '' } of ranked) counts.set(zone, 0);
+  const most = Math.ceil(copies / counts.size);
+  const spread: StoreSeat[] = [];
+  const others: StoreSeat[] = [];
+  for (const store of ranked) {
+    const zone = store.zone ?? '';
+    const count = counts.get(zone)!;
+    (count < most ? spread : others).push(store);
+    counts.set(zone, count + 1);
+  }
+  const chosen = new Set([...spread, ...others].slice(0, copies));
+  return ranked.filter((store) => chosen.has(store));
 };
 
 /** Where a lot's copies stand: a set of stores, and the set before it while the view is changing. */
--- a/src/shared/configuration.ts
+++ b/src/shared/configuration.ts
@@ -67,6 +67,9 @@
   readonly moveSteps?: Readonly<Record<string, MoveProgress>>;
 };
 
+/** A store's disk in the set, and the zone that it stands in where nodes say theirs. */
+export type StoreSeat = Voter & { readonly zone?: string };
+
 /** The operator's whole word: the value of one sequence. */
 export type Configuration = {
   readonly services: Readonly<Record<string, Service>>;
@@ -80,8 +83,8 @@
   readonly formerVoters: ReadonlyArray<Voter>;
   readonly stores: {
     readonly epoch: number;
-    readonly current: ReadonlyArray<Voter>;
-    readonly previous: ReadonlyArray<Voter>;
+    readonly current: ReadonlyArray<StoreSeat>;
+    readonly previous: ReadonlyArray<StoreSeat>;
   };
   /** Where hosts share one fleet: the traffic that operators declared, the newest weights and emptied stores. */
   readonly traffic?: Traffic;
@@ -95,6 +98,8 @@
   readonly now?: number;
   readonly cores: ReadonlyMap<string, string>;
   readonly stores: ReadonlyMap<string, string>;
+  /** Zones of the stores that say theirs. */
+  readonly zones?: ReadonlyMap<string, string>;
 };
 
 const founded = (voters: ReadonlyArray<Voter>): Configuration => ({
@@ -147,9 +152,11 @@
   const wanted = [...new Set(names)];
   if (wanted.length !== names.length) reasons.push({ path: 'stores', message: 'a store is named twice' });
   const current = wanted.map((name, place) => {
-    const disk = seen.stores.get(name) ?? before.current.find((store) => store.name === name)?.disk;
+    const known = before.current.find((store) => store.name === name);
+    const disk = seen.stores.get(name) ?? known?.disk;
+    const zone = seen.zones?.get(name) ?? known?.zone;
     if (disk === undefined) reasons.push({ path: `stores[${place}]`, message: `no store named ${name} is present` });
-    return { name, disk: disk ?? '' };
+    return { name, disk: disk ?? '', ...(zone !== undefined && { zone }) };
   });
   const unchanged =
     current.length === before.current.length &&
--- a/src/tests/lotFleet.ts
+++ b/src/tests/lotFleet.ts
@@ -80,6 +80,8 @@
   readonly seed: number;
   readonly stores: ReadonlyArray<string>;
   readonly sabotage?: Sabotage;
+  /** Where stores stand, for the view that the test says. */
+  readonly zones?: Readonly<Record<string, string>>;
   /** False where the test says the store views. */
   readonly steward?: boolean;
   /** How much later an answer comes back, for scripts. */
--- a/src/tests/lotRuns.ts
+++ b/src/tests/lotRuns.ts
@@ -134,7 +134,14 @@
     },
   };
   if (options.steward === false)
-    fleet.setView({ epoch: 1, current: stores.map((name) => ({ name, disk: fleet.disk(name).id })), previous: [] });
+    fleet.setView({
+      epoch: 1,
+      current: stores.map((name) => {
+        const zone = options.zones?.[name];
+        return { name, disk: fleet.disk(name).id, ...(zone !== undefined && { zone }) };
+      }),
+      previous: [],
+    });
   await fleet.advance(2500);
   return run;
 };
