Fenced leases name the electorate; the configuration log is compacted

A core that had run for long and then became a voter granted at once; one that was replaced went on granting, so an old majority could stand beside a new one. Each grant now names the electorate under which it is counted; a voter grants only under the electorate of the newest value that it learnt, as its member, and not once it accepted a value of a later one; a voter that was no member of the electorate before waits a lease from the moment it learnt that it is one. Fences lie above the sequence of the last change of voters and of a change that this life of the voter proposed; that change is tried until it is decided, where it was tried once. Idempotency: 256 ids stood in the value, older ones were asked of voters, and a majority with gaps in its records could answer that a change was new. The records of the newest 2,048 changes are now part of each value, 24 bytes each. Growth: every sequence's record was kept for ever, each with up to 40 KB of ids. Each value holds the whole state, so a voter of the fleet programs keeps the newest 16 and bounces reads, votes and proposals for what lies before them; who is behind takes the newest value from any of them. The own interface keeps 1,024. Ruled out: a wait of a full lease by all voters after each change of voters (loads of weights would stand still for 4 s); refusing by the sequence instead of the electorate (each change of the configuration would hinder renewals).

--- a/src/core/register.ts
+++ b/src/core/register.ts
@@ -1,7 +1,6 @@
-import { createHash } from 'node:crypto';
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import { Effect, type Context } from 'effect';
-import { RegisterValueSchema, TargetSchema, TakenSchema, type Grant, type RegisterValue } from '../gen/foxdeck_pb.js';
+import { RegisterValueSchema, TargetSchema, type Grant, type RegisterValue } from '../gen/foxdeck_pb.js';
 import type { Presence } from '../node/news.js';
 import { answers } from '../shared/answers.js';
 import { brands } from '../shared/brands.js';
@@ -14,6 +13,7 @@
 import type { Log } from '../shared/log.js';
 import { table } from '../shared/table.js';
 import type { Timepiece } from '../shared/timepiece.js';
+import { idempotency, type AcceptedChange } from './idempotency.js';
 import { registerBallots } from './registerBallots.js';
 import { paxos, type Electorate, type Voter } from './paxos.js';
 
@@ -21,7 +21,10 @@
   readonly sequence: number;
   readonly value: Uint8Array;
   readonly configuration: Configuration;
-  readonly taken: RegisterValue['taken'];
+  /** Idempotency records of the changes accepted so far. */
+  readonly acceptedChanges: Uint8Array;
+  /** Counts the changes of the voters. */
+  readonly electorate: number;
 };
 
 /** What became of a change. */
@@ -39,17 +42,17 @@
   readonly latest: Effect.Effect<Known, Fault>;
   readonly change: (bytes: Uint8Array) => Effect.Effect<Outcome>;
   readonly settle: (before: Configuration, sequence: number) => Effect.Effect<Outcome>;
-  readonly find: (
-    id: string,
-  ) => Effect.Effect<{ readonly sequence: number; readonly change: Uint8Array } | undefined, Fault>;
+  /** Finds an accepted change by its id, among the newest `idempotency.capacity`. */
+  readonly find: (id: string) => Effect.Effect<AcceptedChange | undefined, Fault>;
+  /** Like `settle` for the newest sequence that is known, by the voters that decided it. */
+  readonly settleKnown: Effect.Effect<Outcome, Fault>;
   readonly at: (sequence: number) => Effect.Effect<RegisterValue | undefined, Fault>;
   readonly found: (founders: ReadonlyArray<Voter>) => Effect.Effect<void, Fault>;
   readonly finish: (sequence: number) => Effect.Effect<void, Fault>;
 };
 
-const digestOf = (bytes: Uint8Array): string => createHash('sha256').update(bytes).digest('hex');
-const takenMost = 256;
 const inForceMargin = 2000;
+const askMs = 1500;
 
 /** Makes a node's register access; any node may propose. */
 export const makeRegister = (options: {
@@ -75,7 +78,8 @@
       sequence: decoded.sequence,
       value,
       configuration: JSON.parse(decoded.configuration) as Configuration,
-      taken: decoded.taken,
+      acceptedChanges: decoded.acceptedChanges,
+      electorate: decoded.electorate,
     };
     state.swap((now) => ({ ...now, known }));
     options.learnt(known);
@@ -93,14 +97,34 @@
       ? Effect.succeed(known)
       : Effect.fail(new Fault({ step: 'register', reason: 'no configuration is known yet' }));
   });
+  /** Learns a later value from a voter that compacted the ones between; answers whether there was one. */
+  const catchUp = (known: Known): Effect.Effect<boolean> =>
+    Effect.gen(function* () {
+      const request = answers.ask({ case: 'since', value: { sequence: known.sequence } });
+      const { answers: heard } = yield* gather(
+        known.configuration.voters,
+        (voter) =>
+          Effect.flatMap(addressOf(voter), (address) =>
+            Effect.map(links.ask(address, request, askMs), ({ kind }) =>
+              kind.case === 'chosen' ? kind.value.value : undefined,
+            ),
+          ),
+        (all) => all.some(({ answer }) => answer !== undefined),
+      );
+      for (const { answer } of heard) if (answer) learn(answer);
+      return (state.get().known?.sequence ?? 0) > known.sequence;
+    });
+  /** The newest decided value, confirmed by a majority of its voters after the call began. */
   const latest: Effect.Effect<Known, Fault> = Effect.gen(function* () {
     for (;;) {
       const known = yield* needKnown;
-      const next = yield* paxos.read(electing(known.sequence + 1, known.configuration.voters));
-      if (next === undefined) {
+      const next = yield* Effect.either(paxos.read(electing(known.sequence + 1, known.configuration.voters)));
+      if (next._tag === 'Left') {
+        if (!(yield* catchUp(known))) return yield* next.left;
+      } else if (next.right === undefined) {
         const still = yield* needKnown;
         if (still.sequence === known.sequence) return known;
-      } else learn(next.value);
+      } else learn(next.right.value);
     }
   });
 
@@ -176,6 +200,10 @@
       return { state: 'accepted', sequence } as const;
     }).pipe(Effect.catchAll((fault) => Effect.succeed<Outcome>({ state: 'unknown', message: fault.message })));
 
+  const settleKnown: Effect.Effect<Outcome, Fault> = Effect.flatMap(needKnown, ({ configuration: known, sequence }) =>
+    settle(known.formerVoters.length > 0 ? { ...known, voters: known.formerVoters } : known, sequence),
+  );
+
   const seen = (): SeenDisks => {
     const nodes = options.nodes();
     const of = (role: string) =>
@@ -194,9 +222,6 @@
   ): Effect.Effect<Outcome | 'lost', Fault> =>
     Effect.gen(function* () {
       const sequence = known.sequence + 1;
-      const taken = [...known.taken, create(TakenSchema, { id: change.id, digest: digestOf(bytes), sequence })].slice(
-        -takenMost,
-      );
       const value = toBinary(
         RegisterValueSchema,
         create(RegisterValueSchema, {
@@ -204,7 +229,8 @@
           changeId: change.id,
           change: bytes,
           configuration: JSON.stringify(next),
-          taken,
+          acceptedChanges: idempotency.add(known.acceptedChanges, change.id, bytes),
+          electorate: known.electorate + (change.voters === undefined ? 0 : 1),
         }),
       );
       yield* Effect.forEach(
@@ -239,20 +265,15 @@
       if (shape.isErr) return { state: 'bounced', reasons: shape.error } as const;
       for (let attempt = 0; attempt < 20; attempt += 1) {
         const known = yield* latest;
-        const before = yield* find(shape.value.id, known);
+        const before = idempotency.find(known.acceptedChanges, known.sequence, shape.value.id);
         if (before !== undefined) {
-          if (digestOf(before.change) !== digestOf(bytes))
+          if (Buffer.compare(before.digest, idempotency.digestOf(bytes)) !== 0)
             return {
               state: 'conflict',
               sequence: known.sequence,
               message: `change ${shape.value.id} was taken with other bytes`,
             } as const;
-          return yield* settle(
-            known.configuration.formerVoters.length > 0
-              ? { ...known.configuration, voters: known.configuration.formerVoters }
-              : known.configuration,
-            known.sequence,
-          ).pipe(
+          return yield* settleKnown.pipe(
             Effect.map((outcome): Outcome =>
               outcome.state === 'accepted' ? { state: 'accepted', sequence: before.sequence } : outcome,
             ),
@@ -281,40 +302,14 @@
       ),
     );
 
-  const find = (
-    id: string,
-    known: Known,
-  ): Effect.Effect<{ readonly sequence: number; readonly change: Uint8Array } | undefined, Fault> =>
-    Effect.gen(function* () {
-      const recent = known.taken.some((taken) => taken.id === id);
-      if (!recent && known.taken.length < takenMost) return undefined;
-      const { answers: heard } = yield* gather(
-        known.configuration.voters,
-        (voter) =>
-          Effect.gen(function* () {
-            const answer = yield* links.ask(
-              yield* addressOf(voter),
-              answers.ask({ case: 'findChange', value: { id } }),
-              1500,
-            );
-            return answer.kind.case === 'chosen' ? answer.kind.value : undefined;
-          }),
-        (all) => all.some(({ answer }) => answer !== undefined),
-      );
-      const hit = heard.find(({ answer }) => answer !== undefined)?.answer;
-      if (hit) return { sequence: hit.sequence, change: fromBinary(RegisterValueSchema, hit.value).change };
-      if (recent || heard.length <= known.configuration.voters.length / 2)
-        return yield* new Fault({ step: 'find change', reason: 'no core tells of it now' });
-      return undefined;
-    });
-
   return {
     known: () => state.get().known,
     learn,
     latest,
     change,
     settle,
-    find: (id) => Effect.flatMap(latest, (known) => find(id, known)),
+    settleKnown,
+    find: (id) => Effect.map(latest, (known) => idempotency.find(known.acceptedChanges, known.sequence, id)),
     at: (sequence) =>
       Effect.gen(function* () {
         const known = yield* latest;
@@ -347,6 +342,7 @@
             sequence: 1,
             changeId: 'founding',
             configuration: JSON.stringify(configuration.founded(founders)),
+            electorate: 1,
           }),
         );
         const decision = yield* paxos.decide({ ...electing(1, founders, true), value, attempts: 3 });
--- a/src/core/voter.ts
+++ b/src/core/voter.ts
@@ -18,21 +18,27 @@
 import { table } from '../shared/table.js';
 import type { Timepiece } from '../shared/timepiece.js';
 import { acceptor } from './acceptor.js';
+import { makeFencedLeases } from './fencedLeases.js';
 import type { Records } from './records.js';
 import type { VoterIndex } from './voterIndex.js';
 
 type Granted = { readonly address: string; readonly sequence: number; readonly until: number };
-type Duty = { readonly holder: string; readonly token: number; readonly until: number };
 
-/** A core's vote: the register's records, and the leases that it granted. */
+/** A core's vote: its records of the configuration log, and the leases that it granted. */
 export type Voter = {
   readonly handle: (ask: Ask) => Option.Option<Effect.Effect<Answer, Fault>>;
+  /** The newest decided value on this disk; to be read once before the voter serves. */
   readonly chosen: Effect.Effect<{ readonly sequence: number; readonly value: Uint8Array } | undefined, Fault>;
   readonly sequence: () => number;
   readonly missing: () => ReadonlyArray<number>;
   readonly fresh: () => boolean;
+  /** A change that this life proposed was decided at that sequence; see `FencedLeases`. */
+  readonly startRecorded: (sequence: number) => void;
 };
 
+/** Records are taken away when so many more than are to be kept have gathered. */
+const compactionSlack = 8;
+
 const keyOf = (sequence: number): string => `config/${sequence}`;
 const sequenceOf = (key: string): number => Number(key.slice('config/'.length));
 
@@ -43,23 +49,47 @@
   readonly index: VoterIndex;
   readonly restarted: boolean;
   readonly leaseMs: number;
-  readonly dutyLeaseMs: number;
+  readonly fencedLeaseMs: number;
+  /** Whether fencing tokens rest on the log's sequences; otherwise the holders' clocks bring them. */
+  readonly fencesFromLog: boolean;
+  /** How many of the newest decided sequences are kept; each of them holds the whole state. */
+  readonly keepSequences: number;
   readonly time: Context.Tag.Service<typeof Timepiece>;
   readonly log: Context.Tag.Service<typeof Log>;
   readonly learnt: (value: Uint8Array) => void;
 }): Voter => {
   const { records, index, time } = options;
   const grants = table<ReadonlyMap<string, Granted>>(new Map());
-  const duties = table<ReadonlyMap<string, Duty>>(new Map());
   const pending = table<ReadonlyArray<number>>([]);
   const startedAt = time.granted();
   const learntAt = new Map<number, number>();
   /** A restarted voter has forgotten what it granted, so it waits until all of that must have ended. */
   const silent = (lengthMs: number): boolean => options.restarted && time.granted() < startedAt + lengthMs;
+  /** Sequences up to this one are decided and their records may be gone: the newest value stands for them. */
+  const compacted = (): number => Math.max(0, index.highestChosen() - options.keepSequences);
   /** A sequence whose record was lost here counts as accepted: what was vouched for is not known any more. */
   const accepted = (): number =>
     Math.max(index.highestAccepted(), ...pending.get(), ...[...records.damaged()].map(sequenceOf));
   const chosenSequence = index.highestChosen;
+  const acceptedElectorate = (): number =>
+    [...records.damaged()].some((key) => sequenceOf(key) > chosenSequence()) ? Infinity : index.undecidedElectorate();
+  const fencedLeases = makeFencedLeases({
+    disk: options.disk,
+    restarted: options.restarted,
+    leaseMs: options.fencedLeaseMs,
+    fencesFromLog: options.fencesFromLog,
+    now: time.granted,
+    acceptedElectorate,
+  });
+  let knownElectorate = 0;
+  const tookIn = (value: Uint8Array): void => {
+    const { sequence, electorate, configuration } = fromBinary(RegisterValueSchema, value);
+    if (electorate <= knownElectorate) return;
+    knownElectorate = electorate;
+    const { voters } = JSON.parse(configuration) as Configuration;
+    const member = voters.some((voter) => voter.disk === options.disk);
+    fencedLeases.learnt({ electorate, member, sequence });
+  };
 
   const reported = (sequence: number): ReadonlyArray<Grant> =>
     [...grants.get()]
@@ -80,6 +110,7 @@
 
   const mayVote = (sequence: number, value: Uint8Array | undefined): Effect.Effect<string | undefined, Fault> =>
     Effect.gen(function* () {
+      if (sequence <= compacted()) return `sequence ${sequence} was decided and is compacted here`;
       if (silent(options.leaseMs)) return 'restarted; waits out a full lease before it votes';
       if (sequence === 1) {
         if (chosenSequence() > 0 && !records.head(keyOf(1))) return 'founded already';
@@ -124,11 +155,28 @@
     );
   };
 
+  let compacting = false;
+  /** Takes away what the newest values stand for; files that a loss of power brings back go with the next pass. */
+  const compact = Effect.suspend(() => {
+    const upTo = compacted();
+    const old = [...records.keys(), ...records.damaged()].filter((key) => sequenceOf(key) <= upTo);
+    if (compacting || old.length < compactionSlack) return Effect.void;
+    compacting = true;
+    index.compact(upTo);
+    for (const sequence of learntAt.keys()) if (sequence <= upTo) learntAt.delete(sequence);
+    return Effect.ensuring(
+      Effect.ignore(records.remove(old)),
+      Effect.sync(() => (compacting = false)),
+    );
+  });
   const learn = (key: string, ballot: Ballot, value: Uint8Array): Effect.Effect<Answer, Fault> =>
     Effect.gen(function* () {
-      if (!records.head(key)?.chosen) {
+      const sequence = sequenceOf(key);
+      if (sequence > compacted() && !records.head(key)?.chosen) {
         yield* records.apply(key, (record) => acceptor.learn(record, ballot, value));
-        learntAt.set(sequenceOf(key), time.granted());
+        learntAt.set(sequence, time.granted());
+        tookIn(value);
+        yield* compact;
       }
       options.learnt(value);
       return answers.done();
@@ -148,34 +196,6 @@
     return answers.answer({ case: 'lease', value: { granted, highest: accepted(), chosen: chosenSequence() } });
   };
 
-  const duty = (ask: { disk: string; duty: string; holder: string; token: number; release: boolean }): Answer => {
-    const now = time.granted();
-    const held = duties.get().get(ask.duty);
-    const free = held === undefined || held.until <= now || held.holder === ask.holder;
-    const answer = (granted: boolean): Answer =>
-      answers.answer({
-        case: 'duty',
-        value: {
-          granted,
-          holder: free ? '' : held.holder,
-          token: held?.token ?? 0,
-          remaining: free ? 0 : Math.ceil(held.until - now),
-        },
-      });
-    if (ask.disk !== options.disk || silent(options.dutyLeaseMs)) return answer(false);
-    if (!free || ask.token < (held?.token ?? 0)) return answer(false);
-    if (ask.token === 0) return answer(false);
-    if (held !== undefined && ask.token === held.token && held.holder !== ask.holder) return answer(false);
-    duties.swap((state) =>
-      new Map(state).set(ask.duty, {
-        holder: ask.holder,
-        token: ask.token,
-        until: ask.release ? now : now + options.dutyLeaseMs,
-      }),
-    );
-    return answer(true);
-  };
-
   const told = (sequence: number | undefined, none: string): Effect.Effect<Answer, Fault> =>
     Effect.gen(function* () {
       const record = sequence === undefined ? undefined : yield* records.full(keyOf(sequence));
@@ -187,11 +207,13 @@
     chosen: Effect.gen(function* () {
       const sequence = chosenSequence();
       const record = sequence === 0 ? undefined : yield* records.full(keyOf(sequence));
+      if (record) tookIn(record.value);
       return record && { sequence, value: record.value };
     }),
     sequence: chosenSequence,
-    missing: index.missing,
+    missing: () => index.missing(compacted()),
     fresh: () => chosenSequence() === 0,
+    startRecorded: fencedLeases.startRecorded,
     handle: (ask) => {
       const { kind } = ask;
       switch (kind.case) {
@@ -222,6 +244,8 @@
               const { key } = kind.value;
               if (kind.value.target!.disk !== options.disk) return answers.bounce('read', 'meant for another disk');
               if (records.damaged().has(key)) return answers.bounce('read', `${key} is damaged here`);
+              if (sequenceOf(key) <= compacted() && !records.head(key))
+                return answers.bounce('read', `${key} is compacted here`);
               return voted(acceptor.read((yield* records.full(key)) ?? acceptor.fresh(key)), sequenceOf(key));
             }),
           );
@@ -231,12 +255,12 @@
             : Option.none();
         case 'since':
           return Option.some(told(index.after(kind.value.sequence), 'nothing later'));
-        case 'findChange':
-          return Option.some(told(index.ofChange(kind.value.id), 'not known here'));
         case 'lease':
           return Option.some(Effect.sync(() => lease(kind.value)));
-        case 'duty':
-          return Option.some(Effect.sync(() => duty(kind.value)));
+        case 'fencedLease':
+          return Option.some(
+            Effect.sync(() => answers.answer({ case: 'fencedLease', value: fencedLeases.request(kind.value) })),
+          );
         default:
           return Option.none();
       }
--- a/src/fleet/core/controlDesk.ts
+++ b/src/fleet/core/controlDesk.ts
@@ -46,10 +46,7 @@
     const digest = createHash('sha256').update(bytes).digest('hex').slice(0, 40);
     const id = `traffic/${call.basedOn}/${call.whole ? 'w' : 'p'}${digest}`;
     const taken = await lasting(register.find(id));
-    if (taken) {
-      const known = register.known()!;
-      return worded(await lasting(register.settle(known.configuration, known.sequence)));
-    }
+    if (taken) return worded(await lasting(register.settleKnown));
     const before = register.known()?.configuration.traffic;
     if (!call.whole && call.basedOn !== (before?.version ?? 0))
       return said(412, { cause: `builds on ${call.basedOn}, but ${before?.version ?? 0} is current` });
--- a/src/fleet/core/coreProgram.ts
+++ b/src/fleet/core/coreProgram.ts
@@ -28,9 +28,12 @@
 
 /** Nobody here serves on leases of the configuration: what fronts follow is bounded by their contact with the cores. */
 const coreLeaseMs = 1;
-const dutySlackMs = 1000;
+const leaseSlackMs = 1000;
+/** Each value of the configuration log holds the whole state; the older ones only spare a jump to those just behind. */
+const keptSequences = 16;
 const stewardDuty = 'steward';
 const keepMs = 1000;
+const startRetryMs = 500;
 
 const every = (ms: number, work: () => unknown): NodeJS.Timeout => {
   let running = false;
@@ -110,9 +113,9 @@
     time,
     log: tools.fullLog,
     nodes: presences,
-    learnt: ({ sequence, configuration }) => {
+    learnt: ({ sequence, configuration, electorate }) => {
       const { models, stores, voters, traffic } = configuration;
-      followedNow = { sequence, models: models ?? {}, stores, voters, traffic };
+      followedNow = { sequence, models: models ?? {}, stores, voters, electorate, traffic };
       log.event('configuration_applied', { sequence, traffic: traffic?.version ?? 0 });
       desk?.wake();
     },
@@ -126,7 +129,9 @@
     ),
     restarted: !disk.fresh,
     leaseMs: coreLeaseMs,
-    dutyLeaseMs: settings.bounds.leaseMs + dutySlackMs,
+    fencedLeaseMs: settings.bounds.leaseMs + leaseSlackMs,
+    fencesFromLog: true,
+    keepSequences: keptSequences,
     time,
     log: tools.fullLog,
     learnt: register.learn,
@@ -245,11 +250,16 @@
       await Effect.runPromise(Effect.ignore(upkeep.backfill));
     }),
   ];
-  // Whoever orders a sampler takes a fence above this sequence: voters that restarted have forgotten the fences before.
-  if (register.known()) {
+  /** A voter that restarted has forgotten the fences that it granted; those it grants now lie above this change. */
+  const recordStart = async (): Promise<void> => {
     const change = { id: `start/${settings.name}/${incarnation}.${Math.floor(Math.random() * 1e9)}` };
-    void Effect.runPromise(register.change(Buffer.from(JSON.stringify(change)))).catch(() => undefined);
-  }
+    while (state !== 'leaving') {
+      const outcome = await Effect.runPromise(register.change(Buffer.from(JSON.stringify(change))));
+      if (outcome.state === 'accepted') return voter.startRecorded(outcome.sequence);
+      await new Promise((resolve) => setTimeout(resolve, startRetryMs));
+    }
+  };
+  if (register.known()) void recordStart();
   log.event('started', { role: 'core', disk: disk.id, sequence: register.known()?.sequence ?? 0 });
   return {
     reload: ({ seeds }) => {
--- a/src/fleet/core/newsDesk.ts
+++ b/src/fleet/core/newsDesk.ts
@@ -122,6 +122,7 @@
           models: newer.models,
           stores: newer.stores,
           voters: newer.voters,
+          electorate: newer.electorate,
           ...(newer.traffic &&
             newer.traffic.version !== ask.trafficVersion && { traffic: { ...newer.traffic, document: '' } }),
         },
--- a/src/fleet/fleetTypes.ts
+++ b/src/fleet/fleetTypes.ts
@@ -129,6 +129,8 @@
   readonly models: Readonly<Record<string, number>>;
   readonly stores: StoreView;
   readonly voters: ReadonlyArray<Voter>;
+  /** Counts the changes of the voters; leases are counted under one electorate. */
+  readonly electorate: number;
   readonly traffic: Traffic | undefined;
 };
 
--- a/src/fleet/front/orderLease.ts
+++ b/src/fleet/front/orderLease.ts
@@ -1,3 +1,4 @@
+import { tokensPerSequence } from '../../core/fencedLeases.js';
 import type { Channels } from '../../edge/channels.js';
 import { answers } from '../../shared/answers.js';
 import type { FleetView } from '../follow.js';
@@ -14,11 +15,6 @@
  * next there is always more than the lease that the samplers' side reckons with.
  */
 const useMs = 600;
-/**
- * Voters that restart forget fences, so a fence also rests on the register's sequence, which every core raises as it
- * starts; no clock can bring a lower one.
- */
-const fencesEach = 1000;
 
 /** Makes a front's order leases; `holder` names this life of the process. */
 export const makeOrderLease = (options: {
@@ -32,15 +28,16 @@
   type Heard = { readonly granted: boolean; readonly holder: string; readonly token: number };
   const ask = async (sampler: string, token: number): Promise<{ heard: ReadonlyArray<Heard>; voters: number }> => {
     const { followed, members } = view();
-    const voters = followed?.voters ?? [];
+    const { voters = [], electorate = 0 } = followed ?? {};
     const heard = await Promise.all(
       voters.map(async (voter): Promise<Heard | undefined> => {
         const member = members.get(voter.name);
         if (!member || member.disk !== voter.disk) return undefined;
-        const value = { disk: voter.disk, duty: `order/${sampler}`, holder: options.holder, token, release: false };
+        const lease = `order/${sampler}`;
+        const value = { disk: voter.disk, lease, holder: options.holder, token, release: false, electorate };
         try {
-          const { kind } = await channels.ask(member.peer, answers.ask({ case: 'duty', value }), askMs);
-          return kind.case === 'duty' ? kind.value : undefined;
+          const { kind } = await channels.ask(member.peer, answers.ask({ case: 'fencedLease', value }), askMs);
+          return kind.case === 'fencedLease' ? kind.value : undefined;
         } catch {
           return undefined;
         }
@@ -59,7 +56,7 @@
       const fence =
         own !== undefined && own === highest
           ? own
-          : Math.max(highest + 1, (view().followed?.sequence ?? 0) * fencesEach);
+          : Math.max(highest + 1, (view().followed?.sequence ?? 0) * tokensPerSequence);
       const start = now();
       const won = await ask(sampler, fence);
       if (!majority(won.heard.filter((each) => each.granted).length, won.voters)) return undefined;
--- a/src/front/controlFace.ts
+++ b/src/front/controlFace.ts
@@ -101,11 +101,7 @@
   const configurationAt = (sequence: number | undefined): Effect.Effect<HttpReply, Fault> =>
     Effect.gen(function* () {
       const known = yield* register.latest;
-      const before =
-        known.configuration.formerVoters.length > 0
-          ? { ...known.configuration, voters: known.configuration.formerVoters }
-          : known.configuration;
-      const settled = yield* register.settle(before, known.sequence);
+      const settled = yield* register.settleKnown;
       if (settled.state !== 'accepted') return told(settled);
       if (sequence === undefined)
         return replies.json(200, { sequence: known.sequence, configuration: known.configuration });
@@ -122,18 +118,16 @@
     Effect.gen(function* () {
       const found = yield* register.find(id);
       if (!found) return replies.json(404, { state: 'not taken', upTo: register.known()?.sequence ?? 0 });
-      if (bytes)
+      if (bytes) {
+        const value = yield* register.at(found.sequence);
+        if (!value) return replies.bounce(404, `no sequence ${found.sequence}`);
         return {
           status: 200,
           headers: { 'content-type': 'application/json', 'foxdeck-sequence': String(found.sequence) },
-          body: found.change,
+          body: value.change,
         };
-      const known = yield* register.latest;
-      const before =
-        known.configuration.formerVoters.length > 0
-          ? { ...known.configuration, voters: known.configuration.formerVoters }
-          : known.configuration;
-      const settled = yield* register.settle(before, known.sequence);
+      }
+      const settled = yield* register.settleKnown;
       return settled.state === 'accepted'
         ? replies.json(200, { state: 'accepted', sequence: found.sequence })
         : told(settled);
--- a/src/node/leases.ts
+++ b/src/node/leases.ts
@@ -114,8 +114,9 @@
 
   const inForce = (): boolean => time.held() < lease.get().until - 100;
 
-  const ask = (name: string, token: number, release: boolean) => {
-    const voters = register.known()?.configuration.voters ?? [];
+  const ask = (lease: string, token: number, release: boolean) => {
+    const known = register.known();
+    const voters = known?.configuration.voters ?? [];
     const electorate = { groups: [voters] };
     return Effect.map(
       gather(
@@ -124,8 +125,11 @@
           asked(
             voter,
             (disk) =>
-              answers.ask({ case: 'duty', value: { disk, duty: name, holder: options.holder, token, release } }),
-            (answer) => (answer.kind.case === 'duty' ? answer.kind.value : undefined),
+              answers.ask({
+                case: 'fencedLease',
+                value: { disk, lease, holder: options.holder, token, release, electorate: known?.electorate ?? 0 },
+              }),
+            (answer) => (answer.kind.case === 'fencedLease' ? answer.kind.value : undefined),
           ),
         (all) =>
           token > 0 &&
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -34,6 +34,8 @@
 
 const presenceMs = 400;
 const presenceLeaseMs = 2500;
+/** How many decided sequences a voter keeps, for the table of changes and for reading one back. */
+const keptSequences = 1024;
 
 /** Starts a node's tasks; they end with the scope. */
 export const startNode = (
@@ -103,7 +105,9 @@
             records: yield* openRecords('register', log, voterIndex.noted),
             restarted: !disk.fresh,
             leaseMs: settings.leaseMs,
-            dutyLeaseMs: 3000,
+            fencedLeaseMs: 3000,
+            fencesFromLog: false,
+            keepSequences: keptSequences,
             time,
             log,
             learnt: register.learn,
--- a/src/node/steward.ts
+++ b/src/node/steward.ts
@@ -104,21 +104,23 @@
         {
           id: `retire-core/${lostVoter.name}/${lostVoter.disk}`,
           expected: sequence,
-          voters: { remove: lostVoter.name },
+          voters: { remove: lostVoter.name, lost: true },
         },
         'core_retired',
       );
       return;
     }
-    const retired = (name: string, disk: string): boolean =>
-      known.taken.some(({ id }) => id.startsWith(`retire-core/${name}/`) && id !== `retire-core/${name}/${disk}`);
+    const mayRejoin = (name: string, disk: string): boolean => {
+      const lostDisk = configuration.lostVoters?.[name];
+      return lostDisk !== undefined && lostDisk !== disk;
+    };
     const missing = nodes.find(
       (node) =>
         node.roles.includes('core') &&
         node.disk !== '' &&
         !configuration.voters.some((voter) => voter.name === node.name) &&
         configuration.voters.length < context.settings.foundingCores &&
-        retired(node.name, node.disk),
+        mayRejoin(node.name, node.disk),
     );
     if (missing)
       yield* submit(
--- a/src/shared/configuration.ts
+++ b/src/shared/configuration.ts
@@ -55,7 +55,8 @@
   readonly expected?: number;
   readonly whole?: boolean;
   readonly moves?: Readonly<Record<string, Move | null>>;
-  readonly voters?: { readonly add?: string; readonly remove?: string };
+  /** `lost` says that the removed voter's disk is gone: a core of its name may join again with another one. */
+  readonly voters?: { readonly add?: string; readonly remove?: string; readonly lost?: boolean };
   readonly settledEpoch?: number;
   /** A new declared traffic, on top of a version of it. */
   readonly traffic?: { readonly basedOn: number; readonly value: Traffic };
@@ -81,6 +82,8 @@
   readonly voters: ReadonlyArray<Voter>;
   /** The voters before, at a sequence that changed them: the next one has to wait a full lease. Empty otherwise. */
   readonly formerVoters: ReadonlyArray<Voter>;
+  /** Voters that were removed since their disks were lost, by name, with the lost disk. */
+  readonly lostVoters?: Readonly<Record<string, string>>;
   readonly stores: {
     readonly epoch: number;
     readonly current: ReadonlyArray<StoreSeat>;
@@ -193,6 +196,15 @@
   return [...stays, { name: change.add, disk: disk ?? '' }];
 };
 
+const mergeLostVoters = (before: Configuration, change: Change['voters']): Configuration['lostVoters'] => {
+  if (change === undefined) return before.lostVoters;
+  const lost = { ...before.lostVoters };
+  if (change.add !== undefined) delete lost[change.add];
+  const removed = before.voters.find((voter) => voter.name === change.remove);
+  if (change.lost === true && removed) lost[removed.name] = removed.disk;
+  return lost;
+};
+
 /** Applies a change to a configuration, whole or not at all. */
 const apply = (
   before: Configuration,
@@ -244,6 +256,7 @@
   ) {
     reasons.push({ path: 'settledEpoch', message: `no store move of epoch ${change.settledEpoch} is running` });
   }
+  const lostVoters = mergeLostVoters(before, change.voters);
   const next: Configuration = {
     services,
     bindings,
@@ -257,6 +270,7 @@
       emptied: [...new Set([...(before.emptied ?? []), ...(change.emptied ? [change.emptied] : [])])],
     }),
     voters,
+    ...(lostVoters && { lostVoters }),
     formerVoters: change.voters === undefined ? [] : before.voters,
     stores:
       change.settledEpoch !== undefined
--- a/src/shared/configurationSchema.ts
+++ b/src/shared/configurationSchema.ts
@@ -124,7 +124,7 @@
   .strict();
 
 const voters = yup
-  .object({ add: yup.string(), remove: yup.string() })
+  .object({ add: yup.string(), remove: yup.string(), lost: yup.boolean() })
   .noUnknown()
   .strict()
   .test(
--- a/src/tests/clockRuns.ts
+++ b/src/tests/clockRuns.ts
@@ -51,7 +51,7 @@
   const view: FleetView = {
     members: new Map([[self.name, member]]),
     samplers: new Map(),
-    followed: { sequence: 1, models: {}, stores, voters: [], traffic: undefined },
+    followed: { sequence: 1, models: {}, stores, voters: [], electorate: 1, traffic: undefined },
   };
   const taken: string[] = [];
   let leader: LotLeader | undefined = undefined;
--- a/src/tests/follow.test.ts
+++ b/src/tests/follow.test.ts
@@ -247,7 +247,7 @@
           if (each.kind === 'register') {
             sequence += 1;
             const stores = { epoch: sequence, current: [], previous: [] };
-            at.followed = { sequence, models: { m: sequence }, stores, voters: [], traffic: undefined };
+            at.followed = { sequence, models: { m: sequence }, stores, voters: [], electorate: 1, traffic: undefined };
             at.desk.wake();
           }
           if (each.kind === 'restart') {
--- a/src/tests/followBack.test.ts
+++ b/src/tests/followBack.test.ts
@@ -20,7 +20,7 @@
   incarnation: 1,
   revision,
   members: [],
-  followed: { sequence, models: {}, voters: [], stores: { epoch: 0, current: [], previous: [] } },
+  followed: { sequence, models: {}, voters: [], electorate: 1, stores: { epoch: 0, current: [], previous: [] } },
 });
 
 test('a core that falls silent while another tells of a change takes nobody back', async () => {
--- a/src/tests/lotFleet.ts
+++ b/src/tests/lotFleet.ts
@@ -363,7 +363,14 @@
     channels: (name) => channelsOf(frontOf(name)),
     fleetView: (name) => {
       const told = heardBy(frontOf(name));
-      const followed = { sequence: told.sequence, models: {}, voters: [], stores: told.stores, traffic: undefined };
+      const followed = {
+        sequence: told.sequence,
+        models: {},
+        voters: [],
+        electorate: 1,
+        stores: told.stores,
+        traffic: undefined,
+      };
       return { members: told.members, samplers: new Map(), loads: [], followed } as FleetView;
     },
     view: () => news.stores,
--- a/src/tests/orders.test.ts
+++ b/src/tests/orders.test.ts
@@ -33,6 +33,7 @@
     models: {},
     stores: { epoch: 1, current: [], previous: [] },
     voters: names.map((name) => ({ name, disk: `${name}-disk` })),
+    electorate: 1,
     traffic: undefined,
   },
 };
@@ -49,16 +50,16 @@
 const makeVoters = () => {
   const held = new Map<string, { holder: string; token: number; until: number }>();
   return (peer: string, ask: Ask): Answer => {
-    if (ask.kind.case !== 'duty') throw new Error('not a duty');
-    const { duty, holder, token } = ask.kind.value;
-    const key = `${peer} ${duty}`;
+    if (ask.kind.case !== 'fencedLease') throw new Error('not a lease');
+    const { lease, holder, token } = ask.kind.value;
+    const key = `${peer} ${lease}`;
     const known = held.get(key);
     const free = !known || known.until <= now() || known.holder === holder;
     const same = known !== undefined && known.token === token && known.holder !== holder;
     const granted = free && token > 0 && token >= (known?.token ?? 0) && !same;
     if (granted) held.set(key, { holder, token, until: now() + leaseMs });
     const value = { granted, holder: free ? '' : known.holder, token: known?.token ?? 0, remaining: 0 };
-    return answers.answer({ case: 'duty', value });
+    return answers.answer({ case: 'fencedLease', value });
   };
 };
 
--- a/src/tests/scaleCounts.test.ts
+++ b/src/tests/scaleCounts.test.ts
@@ -164,7 +164,7 @@
       const stores = { epoch: 1, current: [], previous: [] };
       const traffic = { ...plainTraffic(1, 20), document: '' };
       for (const core of site.cores) {
-        core.followed = { sequence: 1, models: {}, stores, voters: [], traffic };
+        core.followed = { sequence: 1, models: {}, stores, voters: [], electorate: 1, traffic };
         core.desk.wake();
       }
       const cost = await pass(site, 1000);
