A sampler's departure is acknowledged once a majority of the voters has it on disk

A core that was cut off acknowledged a draining sampler that no other core heard of, and fronts went on sending there. A core now tells the voters and answers 503 where no majority took it; samplers go on to the next core. Departures are on disk before that, so that no loss of power brings one back as ready. Ruled out: passing it on in the news alone (seconds, and nobody knows who heard); asking the fronts (370 of them, some always away).

--- a/src/fleet/core/controlDesk.ts
+++ b/src/fleet/core/controlDesk.ts
@@ -5,6 +5,7 @@
 import type { Member } from '../fleetTypes.js';
 import { placement } from '../store/placement.js';
 import type { NewsDesk } from './newsDesk.js';
+import type { SamplerDepartures } from './samplerDepartures.js';
 
 /** Answers the calls of samplers, trainers and operators. */
 export type ControlDesk = { readonly handle: (call: ControlCall, bytes: Uint8Array) => Promise<Reply> };
@@ -19,6 +20,7 @@
 export const makeControlDesk = (options: {
   readonly register: Register;
   readonly desk: NewsDesk;
+  readonly departures: SamplerDepartures;
   readonly dialect: Dialect;
   readonly tolerance: number;
   readonly stores: () => ReadonlyArray<Member>;
@@ -86,17 +88,23 @@
     return dialect.emptiedReply(gone);
   };
 
+  const departed = async (id: string): Promise<Reply> => {
+    const sampler = desk.sampler(id);
+    const known = sampler === undefined || sampler.state === 'ready' || (await options.departures.confirm(sampler));
+    return known ? said(200) : said(503, { cause: 'no majority of the voters was told' });
+  };
+
   const work = async (call: ControlCall, bytes: Uint8Array): Promise<Reply> => {
     switch (call.kind) {
       case 'announce':
         desk.announce(call.sampler);
-        return said(200);
+        return call.sampler.state === 'ready' ? said(200) : departed(call.sampler.id);
       case 'leave': {
         const known = desk.sampler(call.id);
         const blank = { id: call.id, service: '', address: '', zone: '', slots: 0, models: {} };
         const { quiet: _quiet, born: _born, ...rest } = known ?? { ...blank, quiet: false, born: 0 };
-        desk.announce({ ...rest, state: 'gone', beat: (known?.beat ?? 0) + 1 });
-        return said(200);
+        if (known?.state !== 'gone') desk.announce({ ...rest, state: 'gone', beat: (known?.beat ?? 0) + 1 });
+        return departed(call.id);
       }
       case 'declare':
         return declare(call, bytes);
--- a/src/fleet/core/coreProgram.ts
+++ b/src/fleet/core/coreProgram.ts
@@ -13,7 +13,7 @@
 import type { Links } from '../../shared/links.js';
 import { rendezvous } from '../../shared/rendezvous.js';
 import { follow } from '../follow.js';
-import type { Followed, FleetSettings, Member } from '../fleetTypes.js';
+import type { Followed, FleetSettings, Member, Sampler } from '../fleetTypes.js';
 import type { Program, ProgramTools } from '../program.js';
 import { serveCalls } from '../serveCalls.js';
 import { serveControl } from './serveControl.js';
@@ -21,6 +21,7 @@
 import { makeLoadPermits } from './loadPermits.js';
 import { makeNewsDesk } from './newsDesk.js';
 import { makeSamplerFile } from './samplerFile.js';
+import { samplerDepartures } from './samplerDepartures.js';
 import { steward } from './steward.js';
 
 /** Nobody here serves on leases of the configuration: what fronts follow is bounded by their contact with the cores. */
@@ -164,6 +165,14 @@
       Effect.succeed(answers.bounce(cause._tag === 'Fail' ? cause.error.step : 'ask', String(cause).slice(0, 200))),
     );
   };
+  const departures = samplerDepartures.make({
+    self: settings.name,
+    desk,
+    file: samplerFile,
+    channels,
+    voters: () => register.known()?.configuration.voters,
+    members,
+  });
   const permits = makeLoadPermits(now, (id) => {
     const sampler = desk.sampler(id);
     return !sampler || (sampler.state !== 'gone' && !sampler.quiet);
@@ -177,6 +186,7 @@
         desk.tell((body as { readonly self: Member }).self);
         return Promise.resolve({});
       }
+      if (name === samplerDepartures.callName) return departures.take(body as Sampler);
       if (name === 'weights.permit') return Promise.resolve(permits.ask(body as never));
       if (name === 'weights.done') return Promise.resolve(permits.done(body as never));
       return undefined;
@@ -189,6 +199,7 @@
   const control = makeControlDesk({
     register,
     desk,
+    departures,
     dialect,
     tolerance: settings.tolerance,
     stores: () => members().filter((member) => member.role === 'store' && member.state === 'ready'),
--- a/src/fleet/core/samplerFile.ts
+++ b/src/fleet/core/samplerFile.ts
@@ -12,6 +12,8 @@
   readonly read: () => Promise<ReadonlyArray<Sampler>>;
   /** Keeps what `samplers` tells, unless it is what was kept last or a write is under way. */
   readonly keep: (samplers: Iterable<Sampler>) => Promise<void>;
+  /** Answers once what `samplers` tells lasts; fails where it can't be written. */
+  readonly keepNow: (samplers: Iterable<Sampler>) => Promise<void>;
 };
 
 const fileName = 'samplers';
@@ -19,9 +21,18 @@
 /** Makes a core's file of samplers in its data folder. */
 export const makeSamplerFile = (disk: Context.Tag.Service<typeof Disk>): SamplerFile => {
   let kept = '';
-  let writing = false;
+  let writing: Promise<void> | undefined;
   const run = <A>(work: Effect.Effect<A, unknown, Disk>): Promise<A> =>
     Effect.runPromise(Effect.provideService(work as Effect.Effect<A, Error, Disk>, Disk, disk));
+  const write = (samplers: Iterable<Sampler>): Promise<void> => {
+    const list = [...samplers].filter((sampler) => sampler.state !== 'gone');
+    // A beat alone is no news.
+    const news = JSON.stringify(list.map((sampler) => ({ ...sampler, beat: 0 })));
+    if (news === kept) return Promise.resolve();
+    const body = Buffer.from(JSON.stringify(list));
+    writing = run(sealedFiles.write('.', fileName, body)).then(() => void (kept = news));
+    return writing.finally(() => (writing = undefined));
+  };
   return {
     read: async () => {
       try {
@@ -32,20 +43,12 @@
       }
     },
     keep: async (samplers) => {
-      if (writing) return;
-      const list = [...samplers].filter((sampler) => sampler.state !== 'gone');
-      // A beat alone is no news.
-      const news = JSON.stringify(list.map((sampler) => ({ ...sampler, beat: 0 })));
-      if (news === kept) return;
-      writing = true;
-      try {
-        await run(sealedFiles.write('.', fileName, Buffer.from(JSON.stringify(list))));
-        kept = news;
-      } catch {
-        // The next round tries again; until then an older file stands.
-      } finally {
-        writing = false;
-      }
+      // Where it fails, the next round tries again; until then an older file stands.
+      if (!writing) await write(samplers).catch(() => undefined);
+    },
+    keepNow: async (samplers) => {
+      while (writing) await writing.catch(() => undefined);
+      await write(samplers);
     },
   };
 };
--- a/src/sim/fleet/fleetCheckers.ts
+++ b/src/sim/fleet/fleetCheckers.ts
@@ -14,6 +14,8 @@
 const cancelMs = 3000;
 /** Holders of one sampler's lease take turns no sooner than this. */
 const turnMs = 3000;
+/** How long after the acknowledgement of its departure requests may still reach a sampler. */
+const drainMs = 2000;
 
 const configurations = (seen: Seen): ReadonlyArray<FleetViolation> => {
   const found: FleetViolation[] = [];
@@ -89,6 +91,17 @@
   return found;
 };
 
+const departures = (seen: Seen): ReadonlyArray<FleetViolation> => {
+  const left = new Map(of(seen, 'departed').map((each) => [each.sampler, each]));
+  return of(seen, 'ran').flatMap(({ attempt, at, sampler, inTouch }) => {
+    const departed = left.get(sampler);
+    if (!departed || !inTouch || at <= departed.at + drainMs) return [];
+    const late = (at - departed.at).toFixed(0);
+    const what = `${attempt} at ${sampler}, ${late} ms after ${departed.core} acknowledged its departure`;
+    return [{ rule: 'nothing reaches a sampler that left', what }];
+  });
+};
+
 const requests = (seen: Seen): ReadonlyArray<FleetViolation> => {
   const found: FleetViolation[] = [];
   const runs = new Map<string, number>();
@@ -153,6 +166,7 @@
   all: (seen: Seen, whole: boolean): ReadonlyArray<FleetViolation> => [
     ...configurations(seen),
     ...orders(seen),
+    ...departures(seen),
     ...requests(seen),
     ...batches(seen, whole),
   ],
--- a/src/sim/fleet/fleetDay.ts
+++ b/src/sim/fleet/fleetDay.ts
@@ -68,13 +68,16 @@
     const size = { ...defaultSize, ...options.size };
     const seen: Observation[] = [];
     const saw = (observation: Observation): void => void seen.push(observation);
-    let faults: FleetFaults | undefined;
-    const fleet = startVirtualFleet(world, size, saw, () => faults?.calm() ?? true);
+    const waiting: { faults?: FleetFaults } = {};
+    const fleet = startVirtualFleet(world, size, saw, {
+      calm: () => waiting.faults?.calm() ?? true,
+      inTouch: (front) => waiting.faults?.inTouch(front) ?? true,
+    });
     const workEnd = bootMs + (options.workMs ?? 18_000);
     const restEnd = workEnd + settleMs;
     let over = false;
     const clientsOptions = { world, fleet, saw, until: restEnd - 500 };
-    const acknowledged = (address: string): void => faults?.acknowledged(address);
+    const acknowledged = (address: string): void => waiting.faults?.acknowledged(address);
     const clients = makeFleetClients({ ...clientsOptions, over: () => over, acknowledged });
     const callers = makeFleetClients({ ...clientsOptions, over: () => world.now() > restEnd, acknowledged });
     world.schedule(world.outside, 1500, () => {
@@ -85,13 +88,14 @@
     for (const name of ['trainer-1', 'trainer-2']) clients.trainer(name);
     for (const name of ['caller-1', 'caller-2', 'caller-3']) callers.caller(name);
     options.script?.(world, fleet);
-    faults = makeFleetFaults(world, fleet, () => [...clients.hosts(), ...callers.hosts()], {
+    const faults = makeFleetFaults(world, fleet, () => [...clients.hosts(), ...callers.hosts()], {
       from: bootMs,
       until: workEnd - 1500,
       meanMs: options.meanFaultMs ?? 1400,
       ...(options.only && { only: options.only }),
       ...(options.mostFaults !== undefined && { most: options.mostFaults }),
     });
+    waiting.faults = faults;
     await world.runUntil(workEnd);
     over = true;
     if (options.closing !== false) faults.close(options.closing ?? world.pick(closings));
--- a/src/sim/fleet/fleetFaults.ts
+++ b/src/sim/fleet/fleetFaults.ts
@@ -23,13 +23,16 @@
   | 'killAll'
   | 'powerLossOfAll'
   | 'powerLossAfterAcknowledgement'
-  | 'samplerCrash';
+  | 'samplerCrash'
+  | 'samplerDeparture';
 
 /** The faults of one day. */
 export type FleetFaults = {
   readonly history: ReadonlyArray<string>;
   /** Whether orders are judged: not just after a thaw or a heal. */
   readonly calm: () => boolean;
+  /** Whether a front was undisturbed for as long as it may take to hear of something, and so were the cores. */
+  readonly inTouch: (front: string) => boolean;
   readonly acknowledged: (address: string) => void;
   /** Ends all that lasts, and starts what is down. */
   readonly heal: () => void;
@@ -61,12 +64,15 @@
   powerLossOfAll: 0.7,
   powerLossAfterAcknowledgement: 1.5,
   samplerCrash: 1,
+  samplerDeparture: 3,
 };
 const disksLost = new Set<FleetFaultKind>(['wipe', 'wipeWhileOthersLosePower', 'replaceCore']);
 /** A disk may be lost again only so long after the last one, with every machine up for as long as `catchUpMs`. */
 const betweenDisksMs = 9000;
 const catchUpMs = 6000;
 const thawSlackMs = 450;
+/** How long an undisturbed front may take to hear what the cores know. */
+const contactMs = 3000;
 
 /** Lets faults happen in a fleet, drawn by the world's seed. */
 export const makeFleetFaults = (
@@ -93,10 +99,19 @@
   const some = (): VirtualMachine => world.pick(fleet.machines.filter((machine) => machine.running()));
   const withDisk = (): ReadonlyArray<VirtualMachine> =>
     fleet.machines.filter((machine) => machine.role !== 'front' && machine.running());
+  const namesOf = (machines: ReadonlyArray<VirtualMachine>): ReadonlyArray<string> => machines.map(({ name }) => name);
   const span = (low: number, high: number): number => world.between(low, high);
-  const lasting = (ms: number, end: () => void): void => {
+  /** When a machine's trouble last began or ended, and until when it lasts. */
+  const troubled = new Map<string, { edgeAt: number; until: number }>();
+  const touch = (names: ReadonlyArray<string>, until: number): void => {
+    for (const name of names)
+      troubled.set(name, { edgeAt: world.now(), until: Math.max(until, troubled.get(name)?.until ?? 0) });
+  };
+  const lasting = (ms: number, names: ReadonlyArray<string>, end: () => void): void => {
+    touch(names, world.now() + ms);
     const over = (): void => {
       if (!undo.delete(over)) return;
+      touch(names, world.now());
       healedAt = world.now();
       unwholeAt = world.now();
       end();
@@ -106,17 +121,19 @@
     world.schedule(world.outside, ms, over);
   };
   const down = (machine: VirtualMachine, ms: number): void =>
-    lasting(ms, () => {
+    lasting(ms, [machine.name], () => {
       if (machine.running()) machine.start();
     });
+  /** Cuts a machine off from those with disks, or from all others. */
   const isolate = (machine: VirtualMachine, ms: number, how: 'both' | 'out' | 'in'): void => {
-    const others = fleet.machines.filter((other) => other !== machine && other.role !== 'front');
+    const whole = world.chance() < 0.5;
+    const others = fleet.machines.filter((other) => other !== machine && (whole || other.role !== 'front'));
     const pairs = others.flatMap(({ name }): ReadonlyArray<readonly [string, string]> => [
       ...(how === 'in' ? [] : [[machine.name, name] as const]),
       ...(how === 'out' ? [] : [[name, machine.name] as const]),
     ]);
     for (const [from, to] of pairs) fleet.network.cut(from, to);
-    lasting(ms, () => pairs.forEach(([from, to]) => fleet.network.join(from, to)));
+    lasting(ms, [machine.name], () => pairs.forEach(([from, to]) => fleet.network.join(from, to)));
   };
   const wipe = (machine: VirtualMachine): void => {
     machine.kill();
@@ -142,7 +159,7 @@
       const machine = some();
       const process = machine.process();
       process.freeze();
-      lasting(span(300, 7000), () => process.thaw());
+      lasting(span(300, 7000), [machine.name], () => process.thaw());
       return machine.name;
     },
     cutOne: () => {
@@ -166,7 +183,7 @@
         fleet.network.cut(one, other);
         fleet.network.cut(other, one);
       }
-      lasting(span(500, 6000), () =>
+      lasting(span(500, 6000), namesOf(all), () =>
         pairs.forEach(([one, other]) => {
           fleet.network.join(one, other);
           fleet.network.join(other, one);
@@ -178,34 +195,36 @@
       const machine = world.pick([...fleet.of('core'), ...fleet.of('front')].filter((each) => each.running()));
       const clients = clientHosts();
       for (const client of clients) fleet.network.cut(machine.name, client);
-      lasting(span(200, 1500), () => clients.forEach((client) => fleet.network.join(machine.name, client)));
+      lasting(span(200, 1500), [], () => clients.forEach((client) => fleet.network.join(machine.name, client)));
       return machine.name;
     },
     reset: () => {
       const machine = some();
+      touch([machine.name], world.now());
       return `${machine.name}, ${fleet.network.resetConnections(machine.name, span(0.2, 1))}`;
     },
     slowLink: () => {
       const machine = some();
       fleet.network.slow(machine.name, span(5, 150));
-      lasting(span(500, 4000), () => fleet.network.slow(machine.name, 0));
+      lasting(span(500, 4000), [machine.name], () => fleet.network.slow(machine.name, 0));
       return machine.name;
     },
     slowDisk: () => {
       const machine = world.pick(withDisk());
       machine.disk.trouble.slowBy = span(5, 60);
-      lasting(span(500, 5000), () => (machine.disk.trouble.slowBy = 1));
+      lasting(span(500, 5000), [machine.name], () => (machine.disk.trouble.slowBy = 1));
       return machine.name;
     },
     stalledDisk: () => {
       const machine = world.pick(withDisk());
       machine.disk.trouble.stalled = true;
-      lasting(span(300, 4000), () => (machine.disk.trouble.stalled = false));
+      lasting(span(300, 4000), [machine.name], () => (machine.disk.trouble.stalled = false));
       return machine.name;
     },
     clockJump: () => {
       const machine = some();
       const ms = Math.round(span(-9000, 9000));
+      touch([machine.name], world.now());
       machine.process().wallOffsetMs += ms;
       return `${machine.name}, ${ms} ms`;
     },
@@ -235,11 +254,12 @@
       leaving.leave();
       diskLostAt = world.now();
       const next = fleet.add('core');
-      lasting(span(200, 2000), () => next.start());
+      lasting(span(200, 2000), [leaving.name, next.name], () => next.start());
       return `${leaving.name} by ${next.name}`;
     },
     addMachine: () => {
       const machine = fleet.add(world.pick(['store', 'front'] as const));
+      touch([machine.name], world.now());
       machine.start();
       return machine.name;
     },
@@ -261,6 +281,8 @@
       orderedAfterAcknowledgement += 1;
       return 'who acknowledges next';
     },
+    samplerDeparture: () =>
+      fleet.departSampler(Math.floor(world.chance() * fleet.samplers), world.pick(['draining', 'leaving'] as const)),
     samplerCrash: () => fleet.restartSampler(Math.floor(world.chance() * fleet.samplers), span(200, 3000)),
   };
   const note = (kind: string, what: string): void =>
@@ -287,6 +309,15 @@
   return {
     history,
     calm: () => world.now() - healedAt > thawSlackMs,
+    inTouch: (front) => {
+      const since = world.now() - contactMs;
+      const own = troubled.get(front);
+      if (own && (own.edgeAt >= since || own.until >= since)) return false;
+      const cores = fleet.of('core').filter((core) => core.running());
+      const well = cores.filter((core) => (troubled.get(core.name)?.until ?? 0) < since);
+      const settled = cores.every((core) => (troubled.get(core.name)?.edgeAt ?? -Infinity) < since);
+      return settled && 2 * well.length > cores.length;
+    },
     acknowledged: (address) => {
       if (orderedAfterAcknowledgement === 0) return;
       orderedAfterAcknowledgement -= 1;
@@ -302,6 +333,7 @@
       for (const over of [...undo]) over();
       fleet.network.heal();
       healedAt = world.now();
+      touch(namesOf(fleet.machines), world.now());
       for (const machine of fleet.machines) if (machine.running() && !machine.process().alive()) machine.start();
     },
     close: (kind) => {
--- a/src/sim/fleet/observations.ts
+++ b/src/sim/fleet/observations.ts
@@ -30,8 +30,16 @@
       readonly fence: number;
       readonly calm: boolean;
     }
-  /** A request that a sampler began to work on. */
-  | { readonly kind: 'ran'; readonly at: number; readonly attempt: string; readonly sampler: string }
+  /** A request that a sampler began to work on, and whether the front that sent it was in touch with the cores. */
+  | {
+      readonly kind: 'ran';
+      readonly at: number;
+      readonly attempt: string;
+      readonly sampler: string;
+      readonly inTouch: boolean;
+    }
+  /** A sampler's departure was acknowledged. */
+  | { readonly kind: 'departed'; readonly at: number; readonly sampler: string; readonly core: string }
   /** A caller's request and its answer; status 0 is silence or a broken connection. */
   | {
       readonly kind: 'asked';
--- a/src/sim/fleet/virtualFiles.ts
+++ b/src/sim/fleet/virtualFiles.ts
@@ -67,7 +67,7 @@
       else lastingNames.delete(path);
     }
   };
-  /** The synced beginning, and of each later write all, a part or nothing; what is missing in between reads as zeros. */
+  /** The synced beginning, and of each later write all, a part or nothing; gaps in between read as zeros. */
   const afterPowerLoss = (inode: Inode, allGone: boolean): Buffer => {
     const bytes = Buffer.alloc(inode.length);
     inode.store.copy(bytes, 0, 0, inode.synced);
--- a/src/sim/fleet/virtualFleet.ts
+++ b/src/sim/fleet/virtualFleet.ts
@@ -7,7 +7,7 @@
 import type { Observation } from './observations.js';
 import { makeVirtualDisk, type VirtualDisk } from './virtualFiles.js';
 import { makeVirtualNetwork, type VirtualNetwork } from './virtualNetwork.js';
-import { virtualSampler } from './virtualSampler.js';
+import { virtualSampler, type VirtualSampler } from './virtualSampler.js';
 import type { VirtualProcess, VirtualWorld } from './virtualWorld.js';
 
 /** How many machines of each kind there are at the start, and how many disks may be lost at once. */
@@ -50,6 +50,8 @@
   readonly controlOf: (machine: VirtualMachine) => string;
   readonly frontOf: (machine: VirtualMachine) => string;
   readonly restartSampler: (place: number, downMs: number) => string;
+  /** Has a sampler leave in order; another life of it starts after its end. */
+  readonly departSampler: (place: number, how: 'draining' | 'leaving') => string;
   readonly samplers: number;
   /** The last log lines of all processes. */
   readonly lines: ReadonlyArray<string>;
@@ -68,7 +70,7 @@
   world: VirtualWorld,
   size: FleetSize,
   saw: (observation: Observation) => void,
-  calm: () => boolean,
+  judged: { readonly calm: () => boolean; readonly inTouch: (front: string) => boolean },
 ): VirtualFleet => {
   const network = makeVirtualNetwork(world);
   const lines: string[] = [];
@@ -204,6 +206,8 @@
   const samplerCount = size.textSamplers + size.plainSamplers;
   const samplerLives = Array.from({ length: samplerCount }, () => 0);
   const samplerProcesses: VirtualProcess[] = [];
+  const samplers: VirtualSampler[] = [];
+  const departing = new Set<VirtualProcess>();
   const startSampler = (place: number): string => {
     const name = `sampler-${place + 1}`;
     samplerLives[place]! += 1;
@@ -211,7 +215,8 @@
     const process = world.spawn(id);
     samplerProcesses[place] = process;
     world.schedule(process, 0, () => {
-      virtualSampler.start({
+      samplers[place] = virtualSampler.start({
+        ...judged,
         world,
         transport: network.transport({ name, lit: () => true }, process),
         id,
@@ -221,7 +226,6 @@
         cores,
         beatMs,
         saw,
-        calm,
       });
     });
     return id;
@@ -238,10 +242,23 @@
     frontOf: ({ name }) => `${name}:${ports.front}`,
     samplers: samplerCount,
     restartSampler: (place, downMs) => {
-      samplerProcesses[place]?.kill();
+      const process = samplerProcesses[place];
+      if (!process?.alive() || departing.has(process)) return 'none';
+      process.kill();
       world.schedule(world.outside, downMs, () => void startSampler(place));
       return `sampler-${place + 1}.${samplerLives[place]}`;
     },
+    departSampler: (place, how) => {
+      const process = samplerProcesses[place];
+      if (!process?.alive() || departing.has(process)) return 'none';
+      departing.add(process);
+      const gone = (): void => {
+        process.kill();
+        world.schedule(world.outside, 500, () => void startSampler(place));
+      };
+      world.schedule(process, 0, () => samplers[place]!.depart(how, gone));
+      return `sampler-${place + 1}.${samplerLives[place]}, ${how}`;
+    },
     lines,
     exits,
   };
--- a/src/sim/fleet/virtualNetwork.ts
+++ b/src/sim/fleet/virtualNetwork.ts
@@ -51,6 +51,8 @@
 class VirtualSocket extends Duplex {
   connecting = true;
   timeout = 0;
+  /** The name of the host at the other end, once it is connected. */
+  peerHost = '';
   private idleTimer: VirtualTimer | undefined;
   private usedAt = 0;
   private over = false;
@@ -225,6 +227,8 @@
       const other = makeEnd(target.host, target.process);
       other.peer = end;
       end.peer = other;
+      other.socket.peerHost = host.name;
+      end.socket.peerHost = machine.name;
       world.schedule(target.process, 0, () => {
         other.socket.connected();
         target.accept(other.socket);
--- a/src/sim/fleet/virtualSampler.ts
+++ b/src/sim/fleet/virtualSampler.ts
@@ -1,4 +1,4 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Transport } from '../../shared/transport.js';
 import { httpCalls } from './httpCalls.js';
 import type { Observation } from './observations.js';
@@ -17,6 +17,14 @@
   readonly saw: (observation: Observation) => void;
   /** False while orders may have been held up by a freeze or a cut. */
   readonly calm: () => boolean;
+  /** Whether a front has been in touch with the cores for a while. */
+  readonly inTouch: (front: string) => boolean;
+};
+
+/** A sampler that runs. */
+export type VirtualSampler = {
+  /** Leaves in order: says so until a core acknowledges it, serves on for a while, and calls `gone`. */
+  readonly depart: (how: 'draining' | 'leaving', gone: () => void) => void;
 };
 
 const slots = 4;
@@ -25,24 +33,31 @@
 const plainMs = 12;
 const loadMs = 300;
 const announceMs = 1000;
+const drainMs = 2000;
+const againMs = 150;
 
 /** The text that an item gets: each event names the item and its place. */
 const textOf = (item: string): string =>
   Array.from({ length: eventsOfText }, (_, place) => `${item}/${place + 1}`).join('\n');
 
-const startSampler = (options: SamplerOptions): Server => {
+const startSampler = (options: SamplerOptions): VirtualSampler => {
   const { world, id, saw } = options;
   let running = 0;
   let version = 1;
   let loading: { readonly version: number; readonly until: number } | undefined;
   let fence = 0;
   let beat = 0;
+  let state: 'ready' | 'draining' = 'ready';
   const settleLoad = (): void => {
     if (!loading || world.now() < loading.until) return;
     version = Math.max(version, loading.version);
     loading = undefined;
   };
 
+  const ran = (attempt: string, message: IncomingMessage): void => {
+    const front = (message.socket as unknown as { readonly peerHost: string }).peerHost;
+    saw({ kind: 'ran', at: world.now(), attempt, sampler: id, inTouch: options.inTouch(front) });
+  };
   const turnAway = (response: ServerResponse, status: number, attempt: string): void => {
     response.writeHead(status, { 'foxdeck-attempt': attempt, 'foxdeck-not-run': '1', 'content-length': '0' });
     response.end();
@@ -53,7 +68,7 @@
     if (expected !== version) return turnAway(response, 421, attempt);
     if (running >= slots || loading) return turnAway(response, 503, attempt);
     running += 1;
-    saw({ kind: 'ran', at: world.now(), attempt, sampler: id });
+    ran(attempt, message);
     response.writeHead(200, {
       'content-type': 'text/event-stream',
       'foxdeck-attempt': attempt,
@@ -72,8 +87,8 @@
       running -= 1;
     });
   };
-  const plain = (response: ServerResponse, attempt: string): void => {
-    saw({ kind: 'ran', at: world.now(), attempt, sampler: id });
+  const plain = (message: IncomingMessage, response: ServerResponse, attempt: string): void => {
+    ran(attempt, message);
     setTimeout(() => {
       const body = JSON.stringify({ rating: 7, attempt });
       response.writeHead(200, {
@@ -109,27 +124,45 @@
       if (message.url === '/foxdeck/order') return order(body, response);
       if (message.headers['foxdeck-sampler'] !== id) return turnAway(response, 421, attempt);
       if (options.model) text(message, response, attempt);
-      else plain(response, attempt);
+      else plain(message, response, attempt);
     });
     response.on('error', () => undefined);
   });
   const calls = httpCalls(options.transport);
   let core = Math.floor(world.chance() * options.cores.length);
-  const announce = async (): Promise<void> => {
+  const path = `/foxdeck/samplers/${encodeURIComponent(id)}`;
+  const announce = async (): Promise<boolean> => {
     settleLoad();
     beat += 1;
     const models = options.model ? { writer: version } : {};
     const { address, zone } = options;
     const service = options.model ? 'texts' : 'plain';
-    const told = { service, address, zone, slots, state: 'ready', beat, models };
-    const path = `/foxdeck/samplers/${encodeURIComponent(id)}`;
-    const heard = await calls.call(options.cores[core]!, 'PUT', path, {}, JSON.stringify(told), announceMs);
-    if (heard.status !== 200) core = (core + 1) % options.cores.length;
+    const told = { service, address, zone, slots, state, beat, models };
+    return tell('PUT', JSON.stringify(told));
   };
-  setInterval(() => void announce(), options.beatMs);
+  const tell = async (method: string, body: string): Promise<boolean> => {
+    const heard = await calls.call(options.cores[core]!, method, path, {}, body, announceMs);
+    if (heard.status === 200) return true;
+    core = (core + 1) % options.cores.length;
+    return false;
+  };
+  const beats = setInterval(() => void announce(), options.beatMs);
   void announce();
   void options.transport.listenHttp(server, options.address);
-  return server;
+  return {
+    depart: (how, gone) => {
+      const run = async (): Promise<void> => {
+        state = 'draining';
+        clearInterval(beats);
+        while (!(await (how === 'draining' ? announce() : tell('DELETE', '')))) await world.sleep(againMs);
+        saw({ kind: 'departed', at: world.now(), sampler: id, core: options.cores[core]! });
+        await world.sleep(drainMs + world.between(200, 2500));
+        if (how === 'draining') await tell('DELETE', '');
+        gone();
+      };
+      void run();
+    },
+  };
 };
 
 /** Samplers of the simulated days. */
--- a/src/tests/lotFleet.ts
+++ b/src/tests/lotFleet.ts
@@ -11,6 +11,7 @@
 import { makeStoreDesk } from '../fleet/store/storeDesk.js';
 import { Fault } from '../shared/fault.js';
 import { Parted } from '../shared/parted.js';
+import { randomSource } from '../sim/randomSource.js';
 
 type Life = { readonly name: string; dead: boolean; frozen: boolean; held: Array<() => void> };
 type Due = { readonly at: number; readonly life: Life; readonly run: () => void; off: boolean };
@@ -66,16 +67,6 @@
   setImmediate: globalThis.setImmediate,
 };
 
-const generator = (seed: number): (() => number) => {
-  let state = (seed * 2654435761) >>> 0;
-  return () => {
-    state = (state + 0x6d2b79f5) >>> 0;
-    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
-  };
-};
-
 /** Makes a fleet whose timers are virtual until `close`; runs of one seed are the same. */
 export const makeLotFleet = (options: {
   readonly seed: number;
@@ -89,7 +80,7 @@
   readonly late?: (from: string, to: string, name: string) => number;
 }): LotFleet => {
   const sabotage = options.sabotage ?? 'none';
-  const chance = generator(options.seed);
+  const chance = randomSource(options.seed * 2654435761);
   const int = (below: number): number => Math.floor(chance() * below);
   let [time, places, ticks] = [0, 0, 0];
   const core: Life = { name: 'core', dead: false, frozen: false, held: [] };
