--- a/src/sim/fleet/fleetDay.ts
+++ b/src/sim/fleet/fleetDay.ts
@@ -10,12 +10,16 @@
   readonly seed: number;
   readonly size?: Partial<FleetSize>;
   readonly workMs?: number;
+  /** How long the fleet may rest after it was healed. */
+  readonly settleMs?: number;
   readonly meanFaultMs?: number;
   readonly only?: ReadonlyArray<FleetFaultKind>;
   /** How many faults may happen, of those that the seed draws. */
   readonly mostFaults?: number;
   /** What happens last; drawn by the seed where it is not named. */
   readonly closing?: FleetFaultKind | false;
+  /** Whether a machine whose disk was lost comes back under its old disk's identity, as a test of checkers does. */
+  readonly keepsDiskIdentity?: boolean;
   /** What a test brings about itself, called when the work begins. */
   readonly script?: (world: VirtualWorld, fleet: VirtualFleet) => void;
 };
@@ -72,9 +76,10 @@
     const fleet = startVirtualFleet(world, size, saw, {
       calm: () => waiting.faults?.calm() ?? true,
       inTouch: (front) => waiting.faults?.inTouch(front) ?? true,
+      keepsDiskIdentity: options.keepsDiskIdentity === true,
     });
     const workEnd = bootMs + (options.workMs ?? 18_000);
-    const restEnd = workEnd + settleMs;
+    const restEnd = workEnd + (options.settleMs ?? settleMs);
     let over = false;
     const clientsOptions = { world, fleet, saw, until: restEnd - 500 };
     const acknowledged = (address: string): void => waiting.faults?.acknowledged(address);
--- a/src/sim/fleet/fleetFaults.ts
+++ b/src/sim/fleet/fleetFaults.ts
@@ -136,7 +136,7 @@
     lasting(ms, [machine.name], () => pairs.forEach(([from, to]) => fleet.network.join(from, to)));
   };
   const wipe = (machine: VirtualMachine): void => {
-    machine.kill();
+    machine.losePower();
     machine.disk.wipe();
     diskLostAt = world.now();
     down(machine, span(200, 2500));
--- a/src/sim/fleet/virtualFleet.ts
+++ b/src/sim/fleet/virtualFleet.ts
@@ -70,7 +70,11 @@
   world: VirtualWorld,
   size: FleetSize,
   saw: (observation: Observation) => void,
-  judged: { readonly calm: () => boolean; readonly inTouch: (front: string) => boolean },
+  judged: {
+    readonly calm: () => boolean;
+    readonly inTouch: (front: string) => boolean;
+    readonly keepsDiskIdentity?: boolean;
+  },
 ): VirtualFleet => {
   const network = makeVirtualNetwork(world);
   const lines: string[] = [];
@@ -124,7 +128,7 @@
         held: () => brands.millis(world.now()),
         wall: () => brands.millis(Date.now()),
         chance: world.chance,
-        identity: () => `${name}-disk-${(diskCount += 1)}`,
+        identity: () => `${name}-disk${judged.keepsDiskIdentity ? '' : `-${(diskCount += 1)}`}`,
       },
       log: memoryLog({
         node: name,
