Voters keep their grants of leases on disk, so a restart waits out no lease

A grant to another holder or under another token is now on disk before it is answered; after a restart known leases count as granted for a whole lease to their machine, which takes them over at once, and all others are free. Damaged records are waited out as before, and only then is a change recorded at the start; cores no longer make one at each start. Ruled out: shorter leases (the platform's leaseMs is a bound); granting to the former holder by what it says of itself.

--- a/src/core/fencedLeases.ts
+++ b/src/core/fencedLeases.ts
@@ -1,4 +1,5 @@
 import type { FencedLeaseRequest } from '../gen/foxdeck_pb.js';
+import type { GrantBounds, LeaseRecords } from './leaseRecords.js';
 
 /** What a voter answers to a request for a lease. */
 export type FencedLeaseAnswer = {
@@ -23,9 +24,11 @@
 
 /** A voter's grants of leases with fencing tokens. */
 export type FencedLeases = {
-  readonly request: (request: FencedLeaseRequest) => FencedLeaseAnswer;
+  readonly request: (request: FencedLeaseRequest) => Promise<FencedLeaseAnswer>;
   /** Takes what a value that was chosen says of the voters. */
   readonly learnt: (membership: Membership) => void;
+  /** Whether tokens were forgotten, so that nothing is granted before `startRecorded`. */
+  readonly needsStart: boolean;
   /** A change that this life of the voter proposed was decided at that sequence: all earlier tokens are below it. */
   readonly startRecorded: (sequence: number) => void;
 };
@@ -35,78 +38,93 @@
 /** How many tokens belong to one sequence of the configuration log, where tokens rest on it. */
 const tokensPerSequence = 1000;
 
+/** The machine of a holder: a later life of its process takes over what a former one held. */
+const machineOf = (holder: string): string => holder.split('#')[0]!;
+
 /**
- * Makes a voter's grants. Grants live in memory, so what makes them safe is waiting and agreement:
+ * Makes a voter's grants. What makes them safe:
  *
- * - A voter that restarted has forgotten its grants and grants nothing for a full lease.
+ * - With `records`, a grant to another holder or under another token is on disk before it is answered. After a restart
+ *   each known lease counts as granted for a full lease from the start on, and all others are free.
+ * - Without records, or where they are damaged, a voter that restarted grants nothing for a full lease.
  * - A grant is counted under one electorate. A voter grants only under the electorate that the newest value it learnt
  *   names, only as its member, and not once it accepted a value that names a later one. The majority that chose a
  *   change of voters therefore ends all grants under the voters before.
  * - A voter that was no member of the electorate just before, as far as it knows, may form a majority with voters that
- *   granted nothing; it waits a full lease from the moment at which it learnt that it is a member.
- * - With `fencesFromLog`, tokens stay above a thousand times the sequence of the last change of voters and of a change
- *   that this life of the voter proposed; until that one is decided, nothing is granted.
+ *   granted nothing; it waits a full lease from the moment at which it learnt that it is a member. So does one that
+ *   restarted, unless its records tell that it was free to grant under that electorate.
+ * - With `records`, tokens stay above a thousand times the sequence of the last change of voters; where records were
+ *   damaged, also above that of a change that this life of the voter proposed, before which nothing is granted.
  */
 const makeFencedLeases = (options: {
   readonly disk: string;
   readonly restarted: boolean;
   readonly leaseMs: number;
-  readonly fencesFromLog: boolean;
+  /** Grants on disk; undefined where the holders' clocks bring tokens and a restart is waited out. */
+  readonly records: LeaseRecords | undefined;
   readonly now: () => number;
   /** The greatest electorate that a value accepted here names. */
   readonly acceptedElectorate: () => number;
 }): FencedLeases => {
-  const { now, leaseMs } = options;
+  const { now, leaseMs, records } = options;
   const held = new Map<string, Held>();
+  const forgot = options.restarted && records?.known === undefined;
+  const needsStart = forgot && records !== undefined;
+  for (const [lease, record] of records?.known?.leases ?? []) held.set(lease, { ...record, until: now() + leaseMs });
   let membership: Membership = { electorate: 0, member: false, sequence: 0 };
-  let grantsFrom = options.restarted ? now() + leaseMs : now();
-  let fenceFloor = 0;
-  let startRecorded = !options.fencesFromLog || !options.restarted;
+  let grantsFrom = forgot ? now() + leaseMs : now();
+  let fenceFloor = records?.known?.fenceFloor ?? 0;
+  let startKnown = !needsStart;
 
   const raiseFloor = (sequence: number): void => {
-    if (options.fencesFromLog) fenceFloor = Math.max(fenceFloor, sequence * tokensPerSequence);
+    if (records) fenceFloor = Math.max(fenceFloor, sequence * tokensPerSequence);
   };
+  const bounds = (): GrantBounds => ({ electorate: membership.electorate, fenceFloor });
   const mayGrant = (request: FencedLeaseRequest): boolean =>
     request.disk === options.disk &&
-    startRecorded &&
+    startKnown &&
     now() >= grantsFrom &&
     membership.member &&
     request.electorate === membership.electorate &&
     options.acceptedElectorate() <= membership.electorate;
+  const heldByOther = (known: Held | undefined, holder: string): Held | undefined => {
+    if (known === undefined || known.until <= now() || known.holder === holder) return undefined;
+    return records && machineOf(known.holder) === machineOf(holder) ? undefined : known;
+  };
 
   return {
-    request: (request) => {
-      const at = now();
-      const known = held.get(request.lease);
-      const other = known !== undefined && known.until > at && known.holder !== request.holder ? known : undefined;
+    needsStart,
+    request: async (request) => {
+      const { lease, holder, token } = request;
+      const known = held.get(lease);
+      const other = heldByOther(known, holder);
       const lowest = Math.max(known?.token ?? 0, fenceFloor);
-      const own = known !== undefined && known.holder === request.holder && known.token === request.token;
-      const fits = own ? request.token >= fenceFloor : request.token > lowest;
-      const granted = request.token > 0 && other === undefined && fits && mayGrant(request);
-      if (granted)
-        held.set(request.lease, {
-          holder: request.holder,
-          token: request.token,
-          until: request.release ? at : at + leaseMs,
-        });
+      const same = known !== undefined && known.holder === holder && known.token === token;
+      const fits = same ? token >= fenceFloor : token > lowest;
+      const granted = token > 0 && other === undefined && fits && mayGrant(request);
+      if (granted) held.set(lease, { holder, token, until: request.release ? now() : now() + leaseMs });
+      const lasts = !granted || same || !records || (await records.keep(lease, { holder, token }, bounds()));
       return {
-        granted,
+        granted: granted && lasts,
         holder: other?.holder ?? '',
         token: lowest,
-        remaining: other ? Math.ceil(other.until - at) : 0,
+        remaining: other ? Math.ceil(other.until - now()) : 0,
       };
     },
     learnt: (next) => {
       if (next.electorate <= membership.electorate) return;
       const founding = next.electorate === 1;
       const continues = membership.member && next.electorate === membership.electorate + 1;
-      if (!founding && !continues) grantsFrom = Math.max(grantsFrom, now() + leaseMs);
+      const wasFree = membership.electorate === 0 && records?.known?.electorate === next.electorate;
+      const free = founding || continues || wasFree;
+      if (!free) grantsFrom = Math.max(grantsFrom, now() + leaseMs);
       if (!founding) raiseFloor(next.sequence);
       membership = next;
+      if (continues && startKnown && now() >= grantsFrom) void records?.keepBounds(bounds());
     },
     startRecorded: (sequence) => {
       raiseFloor(sequence);
-      startRecorded = true;
+      startKnown = true;
     },
   };
 };
--- a/src/core/voter.ts
+++ b/src/core/voter.ts
@@ -19,6 +19,7 @@
 import type { Timepiece } from '../shared/timepiece.js';
 import { acceptor } from './acceptor.js';
 import { fencedLeases } from './fencedLeases.js';
+import type { LeaseRecords } from './leaseRecords.js';
 import type { Records } from './records.js';
 import type { VoterIndex } from './voterIndex.js';
 
@@ -32,6 +33,8 @@
   readonly sequence: () => number;
   readonly missing: () => ReadonlyArray<number>;
   readonly fresh: () => boolean;
+  /** Whether leases rest until a change that this life proposed is decided. */
+  readonly needsStart: boolean;
   /** A change that this life proposed was decided at that sequence; see `FencedLeases`. */
   readonly startRecorded: (sequence: number) => void;
 };
@@ -50,8 +53,8 @@
   readonly restarted: boolean;
   readonly leaseMs: number;
   readonly fencedLeaseMs: number;
-  /** Whether fencing tokens rest on the log's sequences; otherwise the holders' clocks bring them. */
-  readonly fencesFromLog: boolean;
+  /** Grants of fenced leases on disk; without them a restart is waited out. */
+  readonly leaseRecords?: LeaseRecords;
   /** How many of the newest decided sequences are kept; each of them holds the whole state. */
   readonly keepSequences: number;
   readonly time: Context.Tag.Service<typeof Timepiece>;
@@ -77,7 +80,7 @@
     disk: options.disk,
     restarted: options.restarted,
     leaseMs: options.fencedLeaseMs,
-    fencesFromLog: options.fencesFromLog,
+    records: options.leaseRecords,
     now: time.granted,
     acceptedElectorate,
   });
@@ -213,6 +216,7 @@
     sequence: chosenSequence,
     missing: () => index.missing(compacted()),
     fresh: () => chosenSequence() === 0,
+    needsStart: leases.needsStart,
     startRecorded: leases.startRecorded,
     handle: (ask) => {
       const { kind } = ask;
@@ -259,7 +263,10 @@
           return Option.some(Effect.sync(() => lease(kind.value)));
         case 'fencedLease':
           return Option.some(
-            Effect.sync(() => answers.answer({ case: 'fencedLease', value: leases.request(kind.value) })),
+            Effect.map(
+              Effect.promise(() => leases.request(kind.value)),
+              (value) => answers.answer({ case: 'fencedLease', value }),
+            ),
           );
         default:
           return Option.none();
--- a/src/dev/checkModels.ts
+++ b/src/dev/checkModels.ts
@@ -8,13 +8,7 @@
 const logSize = large ? { disksLost: 1, crashes: 1, sequences: 2 } : { disksLost: 1, crashes: 1, sequences: 1 };
 const leaseSize = large ? { leaseTicks: 2, ticks: 3, restarts: 1 } : { leaseTicks: 1, ticks: 2, restarts: 1 };
 const logRules: ReadonlyArray<LogRule | 'none'> = ['none', 'promises', 'adopts', 'membership', 'syncs', 'diskIdentity'];
-const leaseRules: ReadonlyArray<LeaseRule | 'none'> = [
-  'none',
-  'electorate',
-  'newcomerWaits',
-  'restartWaits',
-  'startRaisesFence',
-];
+const leaseRules: ReadonlyArray<LeaseRule | 'none'> = ['none', 'electorate', 'newcomerWaits', 'grantsLast'];
 
 const say = (model: string, off: string, run: () => Exploration): void => {
   const start = Date.now();
--- a/src/fleet/core/coreProgram.ts
+++ b/src/fleet/core/coreProgram.ts
@@ -1,4 +1,5 @@
 import { Effect, type Context } from 'effect';
+import { openLeaseRecords } from '../../core/leaseRecords.js';
 import { openRecords } from '../../core/records.js';
 import { makeRegister } from '../../core/register.js';
 import { makeVoter } from '../../core/voter.js';
@@ -125,7 +126,7 @@
     restarted: !disk.fresh,
     leaseMs: coreLeaseMs,
     fencedLeaseMs: settings.bounds.leaseMs + leaseSlackMs,
-    fencesFromLog: true,
+    leaseRecords: await openLeaseRecords(files, disk.fresh),
     keepSequences: keptSequences,
     time,
     log,
@@ -255,7 +256,7 @@
       await Effect.runPromise(Effect.ignore(upkeep.backfill));
     }),
   ];
-  /** A voter that restarted has forgotten the fences that it granted; those it grants now lie above this change. */
+  /** A voter whose records of leases are lost forgot its fences; those that it grants now lie above this change. */
   const recordStart = async (): Promise<void> => {
     const change = { id: `start/${settings.name}/${incarnation}.${Math.floor(Math.random() * 1e9)}` };
     while (state !== 'leaving') {
@@ -264,7 +265,7 @@
       await new Promise((resolve) => setTimeout(resolve, startRetryMs));
     }
   };
-  if (register.known()) void recordStart();
+  if (voter.needsStart) void recordStart();
   log.event('started', { role: 'core', disk: disk.id, sequence: register.known()?.sequence ?? 0 });
   return {
     reload: ({ seeds }) => {
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -106,7 +106,6 @@
             restarted: !disk.fresh,
             leaseMs: settings.leaseMs,
             fencedLeaseMs: 3000,
-            fencesFromLog: false,
             keepSequences: keptSequences,
             time,
             log,
