--- a/src/sim/fleet/fleetClients.ts
+++ b/src/sim/fleet/fleetClients.ts
@@ -17,13 +17,21 @@
   readonly hosts: () => ReadonlyArray<string>;
 };
 
-type Change = { readonly version: number; readonly basedOn: number; readonly mark: string };
+type Change = {
+  readonly version: number;
+  readonly basedOn: number;
+  readonly mark: string;
+  /** Whether the whole document is sent, or the parts that change. */
+  readonly whole: boolean;
+};
 
 const controlMs = 1200;
 const requestMs = 3000;
 const readWaitMs = 600;
 const itemsOfBatch = 12;
 const groupSize = 4;
+/** So many changes an operator has under way at once, now and then. */
+const ordersAtOnce = 8;
 const clear = (status: number): boolean => status === 200 || status === 400 || status === 412;
 
 /** Makes the clients of a day; `over` tells when no new work begins, `acknowledged` hears of every acknowledgement. */
@@ -65,17 +73,20 @@
       };
       const send = async (change: Change, again: boolean): Promise<HttpAnswer> => {
         const [core, sentAt] = [control(), world.now()];
-        const body = JSON.stringify(fleetTraffic(change.version, change.mark));
-        const headers = { 'if-match': String(change.basedOn) };
-        const heard = await calls.call(core, 'PUT', '/foxdeck/traffic', headers, body, controlMs);
+        const { version, basedOn, mark, whole } = change;
+        const document = fleetTraffic(version, mark);
+        const body = JSON.stringify(whole ? document : { version, bindings: document.bindings });
+        const headers = { 'if-match': String(basedOn) };
+        const heard = await calls.call(core, whole ? 'PUT' : 'PATCH', '/foxdeck/traffic', headers, body, controlMs);
         const { status, body: reason } = heard;
-        saw({ kind: 'declared', sentAt, at: world.now(), ...change, status, reason, again });
+        saw({ kind: 'declared', sentAt, at: world.now(), version, basedOn, mark, status, reason, again });
         if (status === 200) options.acknowledged(core);
         return heard;
       };
       const declare = async (): Promise<void> => {
         const mark = `${(marks += 1)}`;
-        const change = { version: known + 1 + Math.floor(world.chance() * 2), basedOn: known, mark };
+        const version = known + 1 + Math.floor(world.chance() * 2);
+        const change = { version, basedOn: known, mark, whole: known === 0 || world.chance() < 0.6 };
         for (let attempt = 0; attempt < 8; attempt += 1) {
           const { status } = await send(change, false);
           if (status === 200) {
@@ -99,7 +110,8 @@
         const draw = world.chance();
         if (known === 0 || draw < 0.35) await read();
         if (draw >= 0.35 || known === 0) {
-          if (draw < 0.65 || known === 0) await declare();
+          if (draw < 0.4 && known > 0) await Promise.all(Array.from({ length: ordersAtOnce }, declare));
+          else if (draw < 0.65 || known === 0) await declare();
           else if (draw < 0.85 && accepted.length > 0) await send(world.pick(accepted), true);
           else await nameWeights();
         }
--- a/src/sim/fleet/fleetFaults.ts
+++ b/src/sim/fleet/fleetFaults.ts
@@ -1,3 +1,4 @@
+import { retireStore } from './storeRetirement.js';
 import type { VirtualFleet, VirtualMachine } from './virtualFleet.js';
 import type { VirtualWorld } from './virtualWorld.js';
 
@@ -20,6 +21,7 @@
   | 'wipeWhileOthersLosePower'
   | 'replaceCore'
   | 'addMachine'
+  | 'retireStore'
   | 'killAll'
   | 'powerLossOfAll'
   | 'powerLossAfterAcknowledgement'
@@ -60,6 +62,7 @@
   wipeWhileOthersLosePower: 0.7,
   replaceCore: 1,
   addMachine: 0.5,
+  retireStore: 1.5,
   killAll: 0.7,
   powerLossOfAll: 0.7,
   powerLossAfterAcknowledgement: 1.5,
@@ -263,6 +266,21 @@
       machine.start();
       return machine.name;
     },
+    retireStore: () => {
+      const stores = fleet.of('store').filter((store) => store.running());
+      const retired = world.pick(stores);
+      const thenWipes = world.chance() < 0.5;
+      retireStore(world, fleet, retired, () => {
+        retired.leave();
+        touch([retired.name], world.now());
+        note('store was emptied and leaves', retired.name);
+        if (!thenWipes || !mayLoseDisk()) return;
+        const other = world.pick(fleet.of('store').filter((store) => store.running()));
+        wipe(other);
+        note('wipe right after it', other.name);
+      });
+      return retired.name;
+    },
     killAll: () => {
       for (const machine of fleet.machines.filter((each) => each.running())) {
         machine.kill();
--- a/src/tests/fencedLeases.test.ts
+++ b/src/tests/fencedLeases.test.ts
@@ -223,7 +223,7 @@
   expect((await ask(9001)).granted).toBe(true);
 });
 
-test('a voter that missed an electorate waits a full lease, though it was a member before and is one again', async () => {
+test('a voter that missed an electorate waits a full lease, though it was and is a member', async () => {
   let now = 0;
   const voter = fencedLeases.make({
     disk: 'd',
