Field's names in the control side: membership reconciler, watch server, watcher, control handler

steward is membershipReconciler, newsDesk is watchServer, follow is watchers, controlDesk is controlHandler, with their files, types, tests and pages; the log event steward_change is membership_change.

--- a/src/core/fencedLeases.ts
+++ b/src/core/fencedLeases.ts
@@ -24,7 +24,8 @@
 
 /** A voter's grants of leases with fencing tokens. */
 export type FencedLeases = {
-  readonly request: (request: FencedLeaseRequest) => Promise<FencedLeaseAnswer>;
+  /** Answers at once, or when a grant lasts on disk. */
+  readonly request: (request: FencedLeaseRequest) => FencedLeaseAnswer | Promise<FencedLeaseAnswer>;
   /** Takes what a value that was chosen says of the voters. */
   readonly learnt: (membership: Membership) => void;
   /** Whether tokens were forgotten, so that nothing is granted before `startRecorded`. */
@@ -94,7 +95,7 @@
 
   return {
     needsStart,
-    request: async (request) => {
+    request: (request) => {
       const { lease, holder, token } = request;
       const known = held.get(lease);
       const other = heldByOther(known, holder);
@@ -103,13 +104,14 @@
       const fits = same ? token >= fenceFloor : token > lowest;
       const granted = token > 0 && other === undefined && fits && mayGrant(request);
       if (granted) held.set(lease, { holder, token, until: request.release ? now() : now() + leaseMs });
-      const lasts = !granted || same || !records || (await records.keep(lease, { holder, token }, bounds()));
-      return {
-        granted: granted && lasts,
+      const answer: FencedLeaseAnswer = {
+        granted,
         holder: other?.holder ?? '',
         token: lowest,
         remaining: other ? Math.ceil(other.until - now()) : 0,
       };
+      if (!granted || same || !records) return answer;
+      return records.keep(lease, { holder, token }, bounds()).then((lasts) => ({ ...answer, granted: lasts }));
     },
     learnt: (next) => {
       if (next.electorate <= membership.electorate) return;
--- a/src/core/voter.ts
+++ b/src/core/voter.ts
@@ -8,6 +8,7 @@
   type Answer,
   type Ask,
   type Ballot,
+  type FencedLeaseRequest,
   type Grant,
   type Vote,
 } from '../gen/foxdeck_pb.js';
@@ -199,6 +200,13 @@
     return answers.answer({ case: 'lease', value: { granted, highest: accepted(), chosen: chosenSequence() } });
   };
 
+  const fencedLease = (request: FencedLeaseRequest): Effect.Effect<Answer> =>
+    Effect.suspend(() => {
+      const answered = leases.request(request);
+      const value = answered instanceof Promise ? Effect.promise(() => answered) : Effect.succeed(answered);
+      return Effect.map(value, (answer) => answers.answer({ case: 'fencedLease', value: answer }));
+    });
+
   const told = (sequence: number | undefined, none: string): Effect.Effect<Answer, Fault> =>
     Effect.gen(function* () {
       const record = sequence === undefined ? undefined : yield* records.full(keyOf(sequence));
@@ -262,12 +270,7 @@
         case 'lease':
           return Option.some(Effect.sync(() => lease(kind.value)));
         case 'fencedLease':
-          return Option.some(
-            Effect.map(
-              Effect.promise(() => leases.request(kind.value)),
-              (value) => answers.answer({ case: 'fencedLease', value }),
-            ),
-          );
+          return Option.some(fencedLease(kind.value));
         default:
           return Option.none();
       }
--- a/src/dev/hollowMain.ts
+++ b/src/dev/hollowMain.ts
@@ -1,4 +1,4 @@
-import type { FleetView } from '../fleet/follow.js';
+import type { FleetView } from '../fleet/watcher.js';
 import { makeAnnouncer } from './announce.js';
 import { startHollowNode } from './hollowNodes.js';
 import type { HollowAnswer, HollowOrder, HollowSight, HollowTask } from './hollowWords.js';
@@ -25,7 +25,7 @@
     }),
   );
   let [gone, changes] = [{ calls: 0, bytes: 0 }, 0];
-  for (const { follower } of nodes.values()) follower.onChange(() => (changes += 1));
+  for (const { watcher } of nodes.values()) watcher.onChange(() => (changes += 1));
   return {
     take: (order, answer) => {
       if (order.kind === 'counts') {
@@ -50,7 +50,7 @@
       const timer = setInterval(() => {
         for (const name of waiting) {
           const node = nodes.get(name);
-          if (node && !known(order.what, node.follower.view())) continue;
+          if (node && !known(order.what, node.watcher.view())) continue;
           waiting.delete(name);
           lastAt = Date.now();
         }
--- a/src/dev/hollowNodes.ts
+++ b/src/dev/hollowNodes.ts
@@ -1,11 +1,11 @@
 import { makeChannels, type Channels } from '../edge/channels.js';
-import { follow, type Follower } from '../fleet/follow.js';
+import { watchers, type Watcher } from '../fleet/watcher.js';
 import type { Member } from '../fleet/fleetTypes.js';
 
 /** A node that does nothing but follow the cores, with channels of its own. */
 export type HollowNode = {
   readonly name: string;
-  readonly follower: Follower;
+  readonly watcher: Watcher;
   readonly counts: () => { readonly calls: number; readonly bytes: number };
   readonly stop: () => void;
 };
@@ -39,7 +39,7 @@
       return stopped ? new Promise(() => undefined) : channels.call(address, name, body, timeLeftMs);
     },
   };
-  const follower = follow.make({
+  const watcher = watchers.make({
     channels: counted,
     seeds: options.cores,
     self: () => self,
@@ -47,14 +47,14 @@
   });
   return {
     name: options.name,
-    follower,
+    watcher,
     counts: () => {
       const { sent, received } = channels.bytes();
       return { calls, bytes: sent + received };
     },
     stop: () => {
       stopped = true;
-      follower.stop();
+      watcher.stop();
       channels.close();
     },
   };
--- a/src/fleet/core/controlDesk.ts
+++ b/src/fleet/core/controlHandler.ts
@@ -4,11 +4,11 @@
 import type { ControlCall, Dialect, Reply } from '../dialect.js';
 import type { Member } from '../fleetTypes.js';
 import { placement } from '../store/placement.js';
-import type { NewsDesk } from './newsDesk.js';
+import type { WatchServer } from './watchServer.js';
 import type { SamplerDepartures } from './samplerDepartures.js';
 
 /** Answers the calls of samplers, trainers and operators. */
-export type ControlDesk = { readonly handle: (call: ControlCall, bytes: Uint8Array) => Promise<Reply> };
+export type ControlHandler = { readonly handle: (call: ControlCall, bytes: Uint8Array) => Promise<Reply> };
 
 const answerMs = 900;
 const registerMs = 1500;
@@ -17,15 +17,15 @@
   Effect.runPromise(Effect.timeout(work as Effect.Effect<A, Error>, registerMs));
 
 /** Makes a core's control desk. */
-export const makeControlDesk = (options: {
+export const makeControlHandler = (options: {
   readonly register: Register;
-  readonly desk: NewsDesk;
+  readonly desk: WatchServer;
   readonly departures: SamplerDepartures;
   readonly dialect: Dialect;
   readonly tolerance: number;
   readonly stores: () => ReadonlyArray<Member>;
   readonly event: (name: string, fields: Record<string, string | number>) => void;
-}): ControlDesk => {
+}): ControlHandler => {
   const { register, desk, dialect } = options;
   const copies = placement.copies(options.tolerance);
   const said = (status: number, fields: Readonly<Record<string, unknown>> = {}): Reply => ({
--- a/src/fleet/core/coreProgram.ts
+++ b/src/fleet/core/coreProgram.ts
@@ -13,24 +13,24 @@
 import { Disk } from '../../shared/disk.js';
 import type { Links } from '../../shared/links.js';
 import { rendezvous } from '../../shared/rendezvous.js';
-import { follow } from '../follow.js';
+import { watchers } from '../watcher.js';
 import type { Followed, FleetSettings, Member, Sampler } from '../fleetTypes.js';
 import type { Program, ProgramTools } from '../program.js';
 import { serveCalls } from '../serveCalls.js';
 import { serveControl } from './serveControl.js';
-import { makeControlDesk } from './controlDesk.js';
+import { makeControlHandler } from './controlHandler.js';
 import { makeLoadPermits } from './loadPermits.js';
-import { makeNewsDesk } from './newsDesk.js';
+import { makeWatchServer } from './watchServer.js';
 import { makeSamplerFile } from './samplerFile.js';
 import { samplerDepartures } from './samplerDepartures.js';
-import { steward } from './steward.js';
+import { membershipReconciler } from './membershipReconciler.js';
 
 /** Nobody here serves on leases of the configuration: what fronts follow is bounded by their contact with the cores. */
 const coreLeaseMs = 1;
 const leaseSlackMs = 1000;
 /** Each value of the configuration log holds the whole state; the older ones only spare a jump to those just behind. */
 const keptSequences = 16;
-const stewardDuty = 'steward';
+const reconcilerTask = 'membership';
 const keepMs = 1000;
 const startRetryMs = 500;
 
@@ -80,7 +80,7 @@
     coreFresh: voter?.fresh() ?? false,
   });
   const members = (): ReadonlyArray<Member> => {
-    const all = new Map(follower.view().members);
+    const all = new Map(watcher.view().members);
     for (const member of desk.members()) {
       const known = all.get(member.name);
       if (!known || member.incarnation >= known.incarnation) all.set(member.name, member);
@@ -133,7 +133,7 @@
     learnt: register.learn,
   });
   const samplerFile = makeSamplerFile(files);
-  const desk = makeNewsDesk({
+  const desk = makeWatchServer({
     self,
     known: await samplerFile.read(),
     incarnation: incarnation + Math.random(),
@@ -144,7 +144,7 @@
   });
   const chosen = await Effect.runPromise(voter.chosen);
   if (chosen) register.learn(chosen.value);
-  const follower = follow.make({
+  const watcher = watchers.make({
     channels,
     seeds: settings.seeds.filter((seed) => seed !== settings.peer),
     self,
@@ -182,8 +182,8 @@
     channels,
     settings.peer,
     (name, body) => {
-      if (name === 'news.follow') return desk.follow(body as never);
-      if (name === 'news.tell') {
+      if (name === 'watch.poll') return desk.follow(body as never);
+      if (name === 'watch.report') {
         desk.tell((body as { readonly self: Member }).self);
         return Promise.resolve({});
       }
@@ -197,7 +197,7 @@
       Effect.runFork(Effect.map(handleAsk(ask), reply));
     },
   );
-  const control = makeControlDesk({
+  const control = makeControlHandler({
     register,
     desk,
     departures,
@@ -223,7 +223,7 @@
     disk,
     handle: handleAsk,
   });
-  const keeper = steward.make({
+  const reconciler = membershipReconciler.make({
     register,
     channels,
     members,
@@ -232,7 +232,7 @@
       const cores = members().filter((member) => member.role === 'core' && member.state === 'ready');
       return (
         rendezvous(
-          stewardDuty,
+          reconcilerTask,
           cores.map((core) => core.name),
         )[0] === settings.name
       );
@@ -240,7 +240,7 @@
     now,
     event: log.event,
   });
-  follower.onChange((before, after) => {
+  watcher.onChange((before, after) => {
     for (const sampler of after.samplers.values()) if (before.samplers.get(sampler.id) !== sampler) desk.hear(sampler);
     const sequence = after.followed?.sequence ?? 0;
     if (sequence > (register.known()?.sequence ?? 0)) void Effect.runPromise(Effect.ignore(upkeep.follow));
@@ -248,7 +248,7 @@
 
   const timers = [
     every(250, () => desk.tick()),
-    every(300, () => keeper.tick()),
+    every(300, () => reconciler.tick()),
     every(keepMs, () => samplerFile.keep(desk.samplers())),
     every(400, async () => {
       if (settings.firstStart && !register.known()) await Effect.runPromise(Effect.ignore(upkeep.founding));
@@ -270,14 +270,14 @@
   return {
     reload: ({ seeds }) => {
       log.event('settings_read', { seeds: seeds.join(',') });
-      follower.reseed(seeds);
+      watcher.reseed(seeds);
     },
     stop: async () => {
       state = 'leaving';
-      follower.tell();
+      watcher.tell();
       await new Promise((resolve) => setTimeout(resolve, 500));
       for (const timer of timers) clearInterval(timer);
-      follower.stop();
+      watcher.stop();
     },
   };
 };
--- a/src/fleet/core/steward.ts
+++ b/src/fleet/core/membershipReconciler.ts
@@ -7,7 +7,7 @@
 import { placement } from '../store/placement.js';
 
 /** Keeps the voters and the store view in step with the machines that are there. */
-export type Steward = { readonly tick: () => Promise<void> };
+export type MembershipReconciler = { readonly tick: () => Promise<void> };
 
 const settleMs = 1000;
 const goneMs = 3000;
@@ -41,8 +41,8 @@
   return same ? undefined : whole;
 };
 
-/** Makes the steward of one holder of its duty. */
-const makeSteward = (options: {
+/** Makes the reconciler of the core that does it. */
+const makeMembershipReconciler = (options: {
   readonly register: Register;
   readonly channels: Channels;
   readonly members: () => ReadonlyArray<Member>;
@@ -50,7 +50,7 @@
   readonly held: () => boolean;
   readonly now: () => number;
   readonly event: (name: string, fields: Record<string, string | number>) => void;
-}): Steward => {
+}): MembershipReconciler => {
   const { register, now } = options;
   const copies = placement.copies(options.tolerance);
   const lastSeen = new Map<string, number>();
@@ -60,13 +60,13 @@
   const submit = async (step: string, change: Omit<Change, 'id' | 'expected'>, sequence: number): Promise<void> => {
     if (!options.held()) return;
     const document = {
-      id: `steward/${step}/${sequence}/${Math.floor(Math.random() * 1e9)}`,
+      id: `membership/${step}/${sequence}/${Math.floor(Math.random() * 1e9)}`,
       expected: sequence,
       ...change,
     };
     const outcome = await Effect.runPromise(register.change(Buffer.from(JSON.stringify(document))));
     const reason = outcome.state === 'bounced' ? `${outcome.reasons[0]?.path}: ${outcome.reasons[0]?.message}` : '';
-    options.event('steward_change', { step, sequence, outcome: outcome.state, reason });
+    options.event('membership_change', { step, sequence, outcome: outcome.state, reason });
   };
   const absentFor = (voter: Voter): number => now() - (lastSeen.get(placement.key(voter)) ?? now());
 
@@ -173,4 +173,4 @@
 };
 
 /** The keeping of voters and stores. */
-export const steward = { make: makeSteward, nextStores };
+export const membershipReconciler = { make: makeMembershipReconciler, nextStores };
--- a/src/fleet/core/samplerDepartures.ts
+++ b/src/fleet/core/samplerDepartures.ts
@@ -1,7 +1,7 @@
 import type { Voter } from '../../core/paxos.js';
 import type { Channels } from '../../edge/channels.js';
 import type { Member, Sampler } from '../fleetTypes.js';
-import type { NewsDesk } from './newsDesk.js';
+import type { WatchServer } from './watchServer.js';
 import type { SamplerFile } from './samplerFile.js';
 
 /**
@@ -23,7 +23,7 @@
 /** Makes a core's handling of departures. */
 const makeSamplerDepartures = (options: {
   readonly self: string;
-  readonly desk: Pick<NewsDesk, 'hear' | 'samplers'>;
+  readonly desk: Pick<WatchServer, 'hear' | 'samplers'>;
   readonly file: SamplerFile;
   readonly channels: Channels;
   /** Undefined while no configuration is known; nothing is routed then. */
--- a/src/fleet/core/serveControl.ts
+++ b/src/fleet/core/serveControl.ts
@@ -1,7 +1,7 @@
 import { createServer } from 'node:http';
 import type { Transport } from '../../shared/transport.js';
 import type { Dialect, Reply } from '../dialect.js';
-import type { ControlDesk } from './controlDesk.js';
+import type { ControlHandler } from './controlHandler.js';
 
 const bodyMost = 64 * 1024 * 1024;
 
@@ -10,7 +10,7 @@
   address: string,
   transport: Transport,
   dialect: Dialect,
-  desk: ControlDesk,
+  desk: ControlHandler,
 ): Promise<void> => {
   const server = createServer({ noDelay: true, keepAliveTimeout: 30_000 }, (message, response) => {
     const chunks: Buffer[] = [];
--- a/src/fleet/core/newsDesk.ts
+++ b/src/fleet/core/watchServer.ts
@@ -1,10 +1,10 @@
-import type { FollowAnswer, FollowAsk } from '../follow.js';
-import { follow } from '../follow.js';
+import type { WatchResponse, WatchRequest } from '../watcher.js';
+import { watchers } from '../watcher.js';
 import type { Followed, Member, Sampler } from '../fleetTypes.js';
 
 /** What a core tells those who follow it: members, samplers and the register, each with a revision. */
-export type NewsDesk = {
-  readonly follow: (ask: FollowAsk) => Promise<FollowAnswer>;
+export type WatchServer = {
+  readonly follow: (ask: WatchRequest) => Promise<WatchResponse>;
   /** Takes a node's word of itself; answers the incarnation of its former life where that one is greater. */
   readonly tell: (member: Member) => number | undefined;
   readonly members: () => ReadonlyArray<Member>;
@@ -31,7 +31,7 @@
 const told = (member: Member): string => JSON.stringify({ ...member, sequence: 0 });
 
 /** Makes a core's desk. */
-export const makeNewsDesk = (options: {
+export const makeWatchServer = (options: {
   readonly self: () => Member;
   /** Names this life of the desk; revisions of another life count for nothing. */
   readonly incarnation: number;
@@ -43,7 +43,7 @@
   readonly known?: ReadonlyArray<Sampler>;
   /** News that follows other news this closely is told together; the first is told at once. */
   readonly gatherMs?: number;
-}): NewsDesk => {
+}): WatchServer => {
   const { now, gatherMs = gatherDefaultMs } = options;
   const members = new Map<string, { member: Member; heardAt: number; revision: number }>();
   const left = new Map<string, { at: number; revision: number }>();
@@ -95,7 +95,7 @@
     wake();
     return undefined;
   };
-  const news = (ask: FollowAsk): FollowAnswer | undefined => {
+  const news = (ask: WatchRequest): WatchResponse | undefined => {
     const from = ask.incarnation === options.incarnation ? ask.revision : 0;
     const followed = options.followed();
     const newer = followed && followed.sequence > ask.sequence ? followed : undefined;
@@ -180,7 +180,7 @@
     hear: (told) => {
       const known = samplers.get(told.id);
       if (!known) return keep(told, undefined);
-      const heard = follow.later(known.sampler, told);
+      const heard = watchers.later(known.sampler, told);
       if (heard === told) {
         const { beat: _old, ...before } = known.sampler;
         const { beat: _new, ...after } = told;
--- a/src/fleet/front/desks.ts
+++ b/src/fleet/front/desks.ts
@@ -1,7 +1,7 @@
 import type { Channels } from '../../edge/channels.js';
 import type { Dialect } from '../dialect.js';
 import type { Advert, Grant, Partial } from '../fleetTypes.js';
-import type { FleetView } from '../follow.js';
+import type { FleetView } from '../watcher.js';
 import type { SamplerClient } from '../samplerClient.js';
 import type { ItemWord, WatchAnswer } from '../store/storeDesk.js';
 import { traffic } from '../traffic.js';
--- a/src/fleet/front/frontProgram.ts
+++ b/src/fleet/front/frontProgram.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
-import { follow } from '../follow.js';
+import { watchers } from '../watcher.js';
 import type { FleetSettings, Member } from '../fleetTypes.js';
 import type { Program, ProgramTools } from '../program.js';
 import { makeSamplerClient } from '../samplerClient.js';
@@ -29,7 +29,7 @@
   };
   let leaving = false;
   let inFlight = 0;
-  const ready = (): boolean => !leaving && follower.heard() && follower.view().followed?.traffic !== undefined;
+  const ready = (): boolean => !leaving && watcher.heard() && watcher.view().followed?.traffic !== undefined;
   const self = (): Member => ({
     name: settings.name,
     role: 'front',
@@ -41,7 +41,7 @@
     sequence: 0,
     coreFresh: false,
   });
-  const follower = follow.make({
+  const watcher = watchers.make({
     channels,
     seeds: settings.seeds,
     self,
@@ -49,7 +49,7 @@
     outlive,
     tolerance: settings.tolerance,
   });
-  const view = follower.view;
+  const view = watcher.view;
   const client = makeSamplerClient(channelsMost, now, transport.connect);
   const directory = makeSamplerDirectory({ view, zone: settings.zone, now, chance: Math.random, idle: client.idle });
   const stores = makeStoreCalls({ channels, view, now });
@@ -118,7 +118,7 @@
     response.writeHead(status, { 'content-length': '0' });
     response.end();
   });
-  follower.onChange((before, after) => {
+  watcher.onChange((before, after) => {
     const limits = after.followed?.traffic?.limits;
     if (limits && before.followed?.traffic?.limits !== limits) {
       server.keepAliveTimeout = Math.max(1000, limits.idleMs);
@@ -136,12 +136,12 @@
   return {
     reload: ({ seeds }) => {
       log.event('settings_read', { seeds: seeds.join(',') });
-      follower.reseed(seeds);
+      watcher.reseed(seeds);
     },
     stop: async () => {
       const begun = now();
       leaving = true;
-      follower.tell();
+      watcher.tell();
       const items = desks.leave(1500);
       const most = settings.bounds.graceMs - 1200;
       await new Promise((resolve) => setTimeout(resolve, Math.min(readyWaitMs, settings.bounds.graceMs * 0.3)));
@@ -149,7 +149,7 @@
       server.closeIdleConnections();
       await items;
       while (inFlight > 0 && now() - begun < most) await new Promise((resolve) => setTimeout(resolve, 30));
-      follower.stop();
+      watcher.stop();
       readiness.close();
       client.close();
       log.event('stopped', { inFlight });
--- a/src/fleet/front/orderLease.ts
+++ b/src/fleet/front/orderLease.ts
@@ -1,7 +1,7 @@
 import { fencedLeases } from '../../core/fencedLeases.js';
 import type { Channels } from '../../edge/channels.js';
 import { answers } from '../../shared/answers.js';
-import type { FleetView } from '../follow.js';
+import type { FleetView } from '../watcher.js';
 
 /** Leases on the right to order one sampler, granted by a majority of the voters. */
 export type OrderLease = {
--- a/src/fleet/front/ratings.ts
+++ b/src/fleet/front/ratings.ts
@@ -1,7 +1,7 @@
 import { texts } from '../../shared/texts.js';
 import type { Dialect } from '../dialect.js';
 import type { Grant, LotResult } from '../fleetTypes.js';
-import type { FleetView } from '../follow.js';
+import type { FleetView } from '../watcher.js';
 import type { SamplerClient } from '../samplerClient.js';
 import { traffic } from '../traffic.js';
 import { attempts } from './attempts.js';
--- a/src/fleet/front/samplerDirectory.ts
+++ b/src/fleet/front/samplerDirectory.ts
@@ -1,4 +1,4 @@
-import type { FleetView } from '../follow.js';
+import type { FleetView } from '../watcher.js';
 import type { Sampler } from '../fleetTypes.js';
 
 /** Which sampler takes a request, by what is announced and by what this front has seen of each. */
--- a/src/fleet/front/storeCalls.ts
+++ b/src/fleet/front/storeCalls.ts
@@ -1,7 +1,7 @@
 import type { Channels } from '../../edge/channels.js';
 import { Fault } from '../../shared/fault.js';
 import { rendezvous } from '../../shared/rendezvous.js';
-import type { FleetView } from '../follow.js';
+import type { FleetView } from '../watcher.js';
 
 /** How a front reaches the leaders of lots. */
 export type StoreCalls = {
--- a/src/fleet/front/weightLoads.ts
+++ b/src/fleet/front/weightLoads.ts
@@ -3,7 +3,7 @@
 import type { LoadWish } from '../core/loadPermits.js';
 import type { Dialect } from '../dialect.js';
 import type { Sampler } from '../fleetTypes.js';
-import type { FleetView } from '../follow.js';
+import type { FleetView } from '../watcher.js';
 import type { SamplerClient } from '../samplerClient.js';
 import type { OrderLease } from './orderLease.js';
 
--- a/src/fleet/front/words.ts
+++ b/src/fleet/front/words.ts
@@ -1,5 +1,5 @@
 import type { Channels } from '../../edge/channels.js';
-import type { FleetView } from '../follow.js';
+import type { FleetView } from '../watcher.js';
 import type { ItemWord } from '../store/storeDesk.js';
 import type { StoreCalls } from './storeCalls.js';
 
--- a/src/fleet/store/storeProgram.ts
+++ b/src/fleet/store/storeProgram.ts
@@ -2,7 +2,7 @@
 import type { Channels } from '../../edge/channels.js';
 import { serveCalls } from '../serveCalls.js';
 import type { FleetSettings, Member } from '../fleetTypes.js';
-import { follow, type Follower } from '../follow.js';
+import { watchers, type Watcher } from '../watcher.js';
 import { openJournal, type Journal } from './journal.js';
 import { makeLotLeader, type LotLeader } from './lotLeader.js';
 import { lotReplica, type ReplicaLog, type ReplicaRecord } from './lotReplica.js';
@@ -53,7 +53,7 @@
   };
   const handle = (name: string, body: unknown): Promise<unknown> | undefined =>
     name === 'store.unsettled' ? Promise.resolve(unsettled()) : (leader!.handle(name, body) ?? desk.handle(name, body));
-  const follower: Follower = follow.make({
+  const watcher: Watcher = watchers.make({
     channels,
     seeds: settings.seeds,
     self,
@@ -61,7 +61,7 @@
     outlive,
     tolerance: settings.tolerance,
   });
-  const viewOf = () => follower.view().followed?.stores ?? { epoch: 0, current: [], previous: [] };
+  const viewOf = () => watcher.view().followed?.stores ?? { epoch: 0, current: [], previous: [] };
   leader = makeLotLeader({
     self: { name: settings.name, disk: disk.id },
     owner: `${settings.name}#${incarnation}.${Math.floor(Math.random() * 1e6)}`,
@@ -69,7 +69,7 @@
     replica,
     channels,
     view: viewOf,
-    member: (name) => follower.view().members.get(name),
+    member: (name) => watcher.view().members.get(name),
     now,
     leaving: () => state === 'leaving',
     chosen: desk.chosen,
@@ -99,15 +99,15 @@
   return {
     reload: ({ seeds }) => {
       log.event('settings_read', { seeds: seeds.join(',') });
-      follower.reseed(seeds);
+      watcher.reseed(seeds);
     },
     stop: async () => {
       state = 'leaving';
-      follower.tell();
+      watcher.tell();
       for (const led of [...leader.led()]) leader.stepDown(led, 'this store is told to stop');
       await new Promise((resolve) => setTimeout(resolve, leaveMs));
       for (const timer of timers) clearInterval(timer);
-      follower.stop();
+      watcher.stop();
     },
   };
 };
--- a/src/fleet/follow.ts
+++ b/src/fleet/watcher.ts
@@ -3,8 +3,8 @@
 import { table } from '../shared/table.js';
 import type { Followed, Member, Sampler, Traffic } from './fleetTypes.js';
 
-/** What a follower says it knows already. */
-export type FollowAsk = {
+/** What a watcher says it knows already. */
+export type WatchRequest = {
   readonly self: Member;
   readonly incarnation: number;
   readonly revision: number;
@@ -13,7 +13,7 @@
 };
 
 /** What is newer at a core. */
-export type FollowAnswer = {
+export type WatchResponse = {
   readonly core: string;
   readonly incarnation: number;
   readonly revision: number;
@@ -34,7 +34,7 @@
 };
 
 /** Follows every core it knows of, by long pulls. */
-export type Follower = {
+export type Watcher = {
   readonly view: () => FleetView;
   /** Tells all cores at once what this node has become. */
   readonly tell: () => void;
@@ -82,14 +82,14 @@
   return { members, samplers, followed };
 };
 
-const membersAfter = (before: ReadonlyArray<Member>, heard: FollowAnswer): ReadonlyArray<Member> => {
+const membersAfter = (before: ReadonlyArray<Member>, heard: WatchResponse): ReadonlyArray<Member> => {
   if (!heard.members) return before;
   const gone = new Set([...(heard.left ?? []), ...heard.members.map((member) => member.name)]);
   return [...before.filter((member) => !gone.has(member.name)), ...heard.members];
 };
 
 /** The rules by which several cores' words become one. */
-const makeFollower = (options: {
+const makeWatcher = (options: {
   readonly channels: Channels;
   readonly seeds: ReadonlyArray<string>;
   readonly self: () => Member;
@@ -101,7 +101,7 @@
    * members only as they heard them, so any two nodes must follow a core in common, also after that loss.
    */
   readonly tolerance?: number;
-}): Follower => {
+}): Watcher => {
   const { channels, now } = options;
   const empty: FleetView = { members: new Map(), samplers: new Map(), followed: undefined };
   const state = table(empty);
@@ -113,7 +113,7 @@
   /** The cores to follow: the nearest by rendezvous, so that each is followed by its share of the nodes. */
   const chosen = (view: FleetView): ReadonlyArray<string> => {
     const all = [...view.members.values()].filter((member) => member.role === 'core' && member.state !== 'leaving');
-    const width = follow.width(all.length, options.tolerance);
+    const width = watchers.width(all.length, options.tolerance);
     if (all.length <= width) return all.map((member) => member.peer);
     const { name } = options.self();
     const first = rendezvous(
@@ -135,7 +135,7 @@
     for (const listener of listeners) listener(before, after);
     for (const address of chosen(after)) run(address);
   };
-  const take = (address: string, heard: FollowAnswer): void => {
+  const take = (address: string, heard: WatchResponse): void => {
     const known = cores.get(address);
     const same = known?.incarnation === heard.incarnation ? known : undefined;
     const samplers = heard.samplers
@@ -162,7 +162,7 @@
       while (!stopped) {
         const known = cores.get(address);
         const { followed } = state.get();
-        const ask: FollowAsk = {
+        const ask: WatchRequest = {
           self: options.self(),
           incarnation: known?.incarnation ?? 0,
           revision: known?.revision ?? 0,
@@ -170,7 +170,7 @@
           trafficVersion: followed?.traffic?.version ?? 0,
         };
         try {
-          const heard = (await channels.call(address, 'news.follow', ask, pullMs)) as FollowAnswer;
+          const heard = (await channels.call(address, 'watch.poll', ask, pullMs)) as WatchResponse;
           faults = 0;
           if (heard.outlived !== undefined) {
             const behind = heard.outlived >= options.self().incarnation;
@@ -201,7 +201,7 @@
     onChange: (listener) => void listeners.push(listener),
     tell: () => {
       const body = { self: options.self() };
-      for (const address of cores.keys()) void channels.call(address, 'news.tell', body, 800).catch(() => undefined);
+      for (const address of cores.keys()) void channels.call(address, 'watch.report', body, 800).catch(() => undefined);
     },
     reseed: (next) => {
       seeds = next.filter((seed) => seed !== options.self().peer);
@@ -214,8 +214,8 @@
 };
 
 /** Following the cores: what is known of the fleet, and how it is merged. */
-export const follow = {
-  make: makeFollower,
+export const watchers = {
+  make: makeWatcher,
   later,
   /** How many of so many cores a node follows, so that any two nodes have more in common than may be lost. */
   width: (cores: number, tolerance: number | undefined): number =>
--- a/src/model/logModel.ts
+++ b/src/model/logModel.ts
@@ -45,7 +45,18 @@
 const wanted = (s: number, b: number): string => (s === 0 && b === 1 ? replaceC : `${s + 1}/${b}`);
 const ballots = [1, 2];
 const majorityOf = (members: ReadonlyArray<number>): number => Math.floor(members.length / 2) + 1;
-const copy = (state: State): State => structuredClone(state);
+const copySlots = (slots: ReadonlyArray<Slot>): Slot[] => slots.map((slot) => ({ ...slot }));
+const copy = (state: State): State => ({
+  ...state,
+  voters: state.voters.map((voter) => ({
+    ...voter,
+    slots: copySlots(voter.slots),
+    synced: copySlots(voter.synced),
+  })),
+  promises: [...state.promises],
+  proposed: { ...state.proposed },
+  acceptances: [...state.acceptances],
+});
 
 /** Makes the model with a rule switched off, or none. */
 export const logModel = (size: LogSize, off: LogRule | 'none'): Model<State> => {
--- a/src/tests/attempts.test.ts
+++ b/src/tests/attempts.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, describe, expect, jest, test } from '@jest/globals';
 import fc from 'fast-check';
-import type { FleetView } from '../fleet/follow.js';
+import type { FleetView } from '../fleet/watcher.js';
 import type { Sampler } from '../fleet/fleetTypes.js';
 import { attempts, type Attempted, type AttemptRules } from '../fleet/front/attempts.js';
 import { makeSamplerDirectory } from '../fleet/front/samplerDirectory.js';
--- a/src/tests/clockRuns.ts
+++ b/src/tests/clockRuns.ts
@@ -1,6 +1,6 @@
 import type { AskHead, Dialect, Reply } from '../fleet/dialect.js';
 import type { Advert, Grant, HostBinding, LotBody, LotResult, Member } from '../fleet/fleetTypes.js';
-import type { FleetView } from '../fleet/follow.js';
+import type { FleetView } from '../fleet/watcher.js';
 import { makeLotAsks } from '../fleet/front/lotAsks.js';
 import { makeStoreCalls } from '../fleet/front/storeCalls.js';
 import { makeLotLeader, type LotLeader } from '../fleet/store/lotLeader.js';
--- a/src/tests/greyFront.ts
+++ b/src/tests/greyFront.ts
@@ -1,5 +1,5 @@
 import { jest } from '@jest/globals';
-import type { FleetView } from '../fleet/follow.js';
+import type { FleetView } from '../fleet/watcher.js';
 import { attempts, type Attempted } from '../fleet/front/attempts.js';
 import { makeSamplerDirectory } from '../fleet/front/samplerDirectory.js';
 import { plainDialect } from './plainDialect.js';
--- a/src/tests/loopbackFront.ts
+++ b/src/tests/loopbackFront.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo } from 'node:net';
 import type { Dialect } from '../fleet/dialect.js';
 import type { HostBinding, Sampler } from '../fleet/fleetTypes.js';
-import type { FleetView } from '../fleet/follow.js';
+import type { FleetView } from '../fleet/watcher.js';
 import { ordinaryAsks } from '../fleet/front/ordinaryAsks.js';
 import { makeSamplerDirectory } from '../fleet/front/samplerDirectory.js';
 import { makeSamplerClient } from '../fleet/samplerClient.js';
--- a/src/tests/orders.test.ts
+++ b/src/tests/orders.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import type { Channels } from '../edge/channels.js';
 import type { Member, Sampler } from '../fleet/fleetTypes.js';
-import type { FleetView } from '../fleet/follow.js';
+import type { FleetView } from '../fleet/watcher.js';
 import { makeOrderLease } from '../fleet/front/orderLease.js';
 import { makeWeightLoads } from '../fleet/front/weightLoads.js';
 import type { CallEvents, SamplerClient } from '../fleet/samplerClient.js';
--- a/src/tests/returningSampler.ts
+++ b/src/tests/returningSampler.ts
@@ -1,5 +1,5 @@
 import type { Sampler } from '../fleet/fleetTypes.js';
-import type { FleetView } from '../fleet/follow.js';
+import type { FleetView } from '../fleet/watcher.js';
 import { makeSamplerDirectory } from '../fleet/front/samplerDirectory.js';
 import { virtualSamplers } from './virtualSamplers.js';
 
