--- a/src/dev/checkModels.ts
+++ b/src/dev/checkModels.ts
@@ -10,10 +10,10 @@
   ...(large ? [{ disksLost: 1, crashes: 0, sequences: 2 }] : []),
 ];
 const leaseSizes: ReadonlyArray<LeaseSize> = large
-  ? [{ leaseTicks: 1, ticks: 2, restarts: 1, replaces: true }]
+  ? [{ leaseTicks: 1, ticks: 2, restarts: 1, asks: 3, replaces: true }]
   : [
-      { leaseTicks: 1, ticks: 2, restarts: 0, replaces: true },
-      { leaseTicks: 1, ticks: 2, restarts: 1, replaces: false },
+      { leaseTicks: 1, ticks: 1, restarts: 0, asks: 2, replaces: true },
+      { leaseTicks: 1, ticks: 1, restarts: 1, asks: 2, replaces: false },
     ];
 const logRules: ReadonlyArray<LogRule | 'none'> = ['none', 'promises', 'adopts', 'membership', 'syncs', 'diskIdentity'];
 const leaseRules: ReadonlyArray<LeaseRule | 'none'> = ['none', 'electorate', 'newcomerWaits', 'grantsLast'];
