--- a/src/tests/configurationLog.test.ts
+++ b/src/tests/configurationLog.test.ts
@@ -1,7 +1,7 @@
 import { afterEach, describe, expect, test } from '@jest/globals';
 import { Effect } from 'effect';
 import { idempotency } from '../core/idempotency.js';
-import { makeLogCluster, type Files, type LogCluster } from './logCluster.js';
+import { makeLogCluster, type Files, type LogCluster } from '../sim/logCluster.js';
 import { switchOff } from './switchOff.js';
 
 const keep = 16;
