--- a/src/dev/plainTraffic.ts
+++ b/src/dev/plainTraffic.ts
@@ -1,27 +1,7 @@
-import type { HostBinding, HostService, Traffic } from '../fleet/fleetTypes.js';
+import type { Traffic } from '../fleet/fleetTypes.js';
+import { plainBindings } from './plainBindings.js';
 
-const binding = (more: Partial<HostBinding> & Pick<HostBinding, 'name' | 'host' | 'kind'>): HostBinding => ({
-  prefix: '/',
-  timeLeftMs: 60_000,
-  aimMs: 1000,
-  priority: 5,
-  attempts: 3,
-  shares: [],
-  resumable: false,
-  single: false,
-  lotDueMs: 60_000,
-  lotWaitMs: 600_000,
-  ...more,
-});
-const service = (name: string, model: boolean): HostService => ({
-  name,
-  healthPath: '/health',
-  channelsMost: 100,
-  model,
-  cacheTokens: model ? 100_000 : 0,
-  stride: 1,
-  models: model ? ['writer'] : [],
-});
+const { binding, service } = plainBindings;
 
 /** A traffic document with one binding for lots, one for ratings, and further ones that only add to its size. */
 export const plainTraffic = (version: number, further = 0): Omit<Traffic, 'document'> => ({
