Known red: a grant that was never on disk is renewed

Two voters whose disks refused the grant would have to restart within a lease for two holders to meet.

--- a/src/tests/fencedLeases.test.ts
+++ b/src/tests/fencedLeases.test.ts
@@ -306,3 +306,29 @@
     expect((await request()).granted).toBe(true);
   });
 });
+
+test('a grant that could not be written is not granted to its holder again before it lasts', async () => {
+  let writes = false;
+  const records: LeaseRecords = {
+    known: { leases: new Map(), electorate: 0, fenceFloor: 0 },
+    keep: () => Promise.resolve(writes),
+    keepBounds: () => Promise.resolve(writes),
+  };
+  const voter = fencedLeases.make({
+    disk: 'd',
+    restarted: false,
+    leaseMs,
+    records,
+    now: () => 0,
+    acceptedElectorate: () => 0,
+  });
+  voter.learnt({ electorate: 1, member: true, sequence: 1 });
+  const ask = async (): Promise<boolean> => {
+    const asked = { disk: 'd', lease: 'l', holder: 'front-1#1', token: 1001, electorate: 1 };
+    return (await voter.request(create(FencedLeaseRequestSchema, asked))).granted;
+  };
+  expect(await ask()).toBe(false);
+  expect(await ask()).toBe(false);
+  writes = true;
+  expect(await ask()).toBe(true);
+});
