--- a/src/sim/fleet/fleetClients.ts
+++ b/src/sim/fleet/fleetClients.ts
@@ -1,6 +1,6 @@
 import type { Transport } from '../../shared/transport.js';
 import { fleetTraffic } from './fleetTraffic.js';
-import { httpCalls, type HttpAnswer } from './httpCalls.js';
+import { httpCalls, type HttpAnswer, type HttpCalls } from './httpCalls.js';
 import type { Observation } from './observations.js';
 import type { VirtualFleet } from './virtualFleet.js';
 import type { VirtualWorld } from './virtualWorld.js';
@@ -32,6 +32,7 @@
 const groupSize = 4;
 /** So many changes an operator has under way at once, now and then. */
 const ordersAtOnce = 8;
+const markPrefix = 'mark-';
 const clear = (status: number): boolean => status === 200 || status === 400 || status === 412;
 
 /** Makes the clients of a day; `over` tells when no new work begins, `acknowledged` hears of every acknowledgement. */
@@ -58,18 +59,23 @@
   const control = (): string => fleet.controlOf(world.pick(fleet.of('core').filter((core) => core.running())));
   const front = (): string => fleet.frontOf(world.pick(fleet.of('front').filter((each) => each.running())));
 
+  /** Asks a core for the newest version; undefined where it does not tell. */
+  const readVersion = async (calls: HttpCalls): Promise<number | undefined> => {
+    const [core, sentAt] = [control(), world.now()];
+    const heard = await calls.call(core, 'GET', '/foxdeck/traffic', {}, '', controlMs);
+    if (heard.status !== 200) return undefined;
+    const told = JSON.parse(heard.body) as { version: number; bindings: Array<{ name: string }> };
+    const marked = told.bindings.find((each) => each.name.startsWith(markPrefix))?.name;
+    const mark = marked?.slice(markPrefix.length) ?? '';
+    saw({ kind: 'read', sentAt, at: world.now(), version: told.version, mark, core });
+    return told.version;
+  };
   const operator = (name: string): void =>
     begin(name, async (transport) => {
       const calls = httpCalls(transport);
       let known = 0;
       const read = async (): Promise<void> => {
-        const [core, sentAt] = [control(), world.now()];
-        const heard = await calls.call(core, 'GET', '/foxdeck/traffic', {}, '', controlMs);
-        if (heard.status !== 200) return;
-        const told = JSON.parse(heard.body) as { version: number; bindings: Array<{ name: string }> };
-        const mark = told.bindings.find((each) => each.name.startsWith('mark-'))?.name.slice('mark-'.length) ?? '';
-        known = Math.max(known, told.version);
-        saw({ kind: 'read', sentAt, at: world.now(), version: told.version, mark, core });
+        known = Math.max(known, (await readVersion(calls)) ?? 0);
       };
       const send = async (change: Change, again: boolean): Promise<HttpAnswer> => {
         const [core, sentAt] = [control(), world.now()];
@@ -146,7 +152,7 @@
       }
     });
 
-  const handIn = async (calls: ReturnType<typeof httpCalls>, batch: string): Promise<boolean> => {
+  const handIn = async (calls: HttpCalls, batch: string): Promise<boolean> => {
     const ids = Array.from({ length: itemsOfBatch }, (_, place) => `${batch}-${place}`);
     const items = ids.map((id, place) => ({
       id,
@@ -223,14 +229,8 @@
         begin('final-reader', async (transport) => {
           const calls = httpCalls(transport);
           while (world.now() < until) {
-            const [core, sentAt] = [control(), world.now()];
-            const heard = await calls.call(core, 'GET', '/foxdeck/traffic', {}, '', controlMs);
-            if (heard.status === 200) {
-              const told = JSON.parse(heard.body) as { version: number; bindings: Array<{ name: string }> };
-              const mark = told.bindings.find((each) => each.name.startsWith('mark-'))?.name.slice(5) ?? '';
-              saw({ kind: 'read', sentAt, at: world.now(), version: told.version, mark, core });
-              return resolve(told.version);
-            }
+            const version = await readVersion(calls);
+            if (version !== undefined) return resolve(version);
             await world.sleep(200);
           }
           resolve(undefined);
