A lease renewed before its token was on disk waits for the write

Cause: fencedLeases took a second request under one token for a renewal though the first was never on disk, so a voter whose disk refused a write answered the repeat from memory and forgot it with its power. Grants remember whether they are recorded. Ruled out: dropping the grant on a failed write, which would let another holder in while the first answer is under way.

--- a/src/core/fencedLeases.ts
+++ b/src/core/fencedLeases.ts
@@ -34,7 +34,13 @@
   readonly startRecorded: (sequence: number) => void;
 };
 
-type Held = { readonly holder: string; readonly token: number; readonly until: number };
+type Held = {
+  readonly holder: string;
+  readonly token: number;
+  readonly until: number;
+  /** Whether the holder and the token are on disk, so that a renewal needs no write. */
+  readonly recorded: boolean;
+};
 
 /** How many tokens belong to one sequence of the configuration log, where tokens rest on it. */
 const tokensPerSequence = 1000;
@@ -71,7 +77,7 @@
   const held = new Map<string, Held>();
   const forgot = options.restarted && records?.known === undefined;
   const needsStart = forgot && records !== undefined;
-  for (const [lease, record] of records?.known?.leases ?? []) held.set(lease, { ...record, until: now() + leaseMs });
+  for (const [lease, record] of records?.known?.leases ?? []) held.set(lease, { ...record, until: now() + leaseMs, recorded: true });
   let membership: Membership = { electorate: 0, member: false, sequence: 0 };
   let grantsFrom = forgot ? now() + leaseMs : now();
   let fenceFloor = records?.known?.fenceFloor ?? 0;
@@ -103,15 +109,21 @@
       const same = known !== undefined && known.holder === holder && known.token === token;
       const fits = same ? token >= fenceFloor : token > lowest;
       const granted = token > 0 && other === undefined && fits && mayGrant(request);
-      if (granted) held.set(lease, { holder, token, until: request.release ? now() : now() + leaseMs });
+      const recorded = !records || (same && known.recorded);
+      if (granted) held.set(lease, { holder, token, until: request.release ? now() : now() + leaseMs, recorded });
       const answer: FencedLeaseAnswer = {
         granted,
         holder: other?.holder ?? '',
         token: lowest,
         remaining: other ? Math.ceil(other.until - now()) : 0,
       };
-      if (!granted || same || !records) return answer;
-      return records.keep(lease, { holder, token }, bounds()).then((lasts) => ({ ...answer, granted: lasts }));
+      if (!granted || recorded) return answer;
+      return records!.keep(lease, { holder, token }, bounds()).then((lasts) => {
+        const current = held.get(lease);
+        if (lasts && current?.holder === holder && current.token === token)
+          held.set(lease, { ...current, recorded: true });
+        return { ...answer, granted: lasts };
+      });
     },
     learnt: (next) => {
       if (next.electorate <= membership.electorate) return;
