--- a/deploy/load.cjs
+++ b/deploy/load.cjs
@@ -4,7 +4,7 @@
 const { join } = require('node:path');
 const { Script } = require('node:vm');
 
-const [, , first, second] = process.argv;
+const [, , first, second, ...others] = process.argv;
 const keeps = first === '--keep';
 const file = join(__dirname, 'program.js');
 const kept = join(__dirname, `program.${String(keeps ? second : first).replace(/[^a-z]/g, '')}.code`);
@@ -17,4 +17,4 @@
 const body = { exports: {} };
 script.runInThisContext().call(body.exports, body.exports, require, body, file, __dirname);
 if (keeps) writeFileSync(kept, script.createCachedData());
-else body.exports.main(first);
+else body.exports.main(...[first, second, ...others].filter((each) => each !== undefined));
--- a/src/core/fencedLeases.ts
+++ b/src/core/fencedLeases.ts
@@ -77,7 +77,8 @@
   const held = new Map<string, Held>();
   const forgot = options.restarted && records?.known === undefined;
   const needsStart = forgot && records !== undefined;
-  for (const [lease, record] of records?.known?.leases ?? []) held.set(lease, { ...record, until: now() + leaseMs, recorded: true });
+  for (const [lease, record] of records?.known?.leases ?? [])
+    held.set(lease, { ...record, until: now() + leaseMs, recorded: true });
   let membership: Membership = { electorate: 0, member: false, sequence: 0 };
   let grantsFrom = forgot ? now() + leaseMs : now();
   let fenceFloor = records?.known?.fenceFloor ?? 0;
--- a/src/edge/channels.ts
+++ b/src/edge/channels.ts
@@ -5,10 +5,14 @@
 import { Fault } from '../shared/fault.js';
 import { slab, type Slab } from '../shared/slab.js';
 import type { Connection, Listener, Transport } from '../shared/transport.js';
+import type { CallSize } from './callMetrics.js';
 import { packing } from './packing.js';
 import { realTransport } from './realTransport.js';
 
-type Waiting = { readonly done: (answer: Answer) => void; readonly failed: (fault: Fault) => void };
+type Waiting = {
+  readonly done: (answer: Answer, bytes: number) => void;
+  readonly failed: (fault: Fault) => void;
+};
 type Channel = { readonly socket: Connection; readonly pending: Slab<Waiting>; heardAt: number; unsent: Buffer[] };
 
 /** Answers an ask, now or later, once. */
@@ -28,7 +32,7 @@
 const mostBytes = 64 * 1024 * 1024;
 const connectMs = 1500;
 
-const splitter = (onFrame: (frame: Frame) => void): ((chunk: Buffer) => void) => {
+const splitter = (onFrame: (frame: Frame, bytes: number) => void): ((chunk: Buffer) => void) => {
   let held: Buffer[] = [];
   let size = 0;
   let needed = 0;
@@ -49,9 +53,10 @@
       if (all.length < needed) break;
       const frame = fromBinary(FrameSchema, all.subarray(peeked.offset, needed));
       if (frame.wire !== wire) throw new Error(`a frame of wire version ${frame.wire}, not ${wire}`);
-      all = all.subarray(needed);
+      const bytes = needed;
+      all = all.subarray(bytes);
       needed = 0;
-      onFrame(frame);
+      onFrame(frame, bytes);
     }
     held = all.length === 0 ? [] : [all];
     size = all.length;
@@ -62,20 +67,26 @@
  * Makes a process's channels: one TCP connection to each cohort member that is asked, one answer to each ask. Frames of
  * one turn leave in one write. A channel on which nothing was heard since an ask that ran out of time is given up.
  */
-export const makeChannels = (transport: Transport = realTransport): Channels => {
+export const makeChannels = (
+  transport: Transport = realTransport,
+  observe: (size: CallSize) => void = () => undefined,
+): Channels => {
   const channels = new Map<string, Channel>();
   const servers: Listener[] = [];
   const counted = { sent: 0, received: 0 };
 
-  const write = (held: { readonly socket: Connection; unsent: Buffer[] }, frame: Frame): void => {
-    held.unsent.push(Buffer.from(sizeDelimitedEncode(FrameSchema, frame)));
-    if (held.unsent.length > 1) return;
+  /** Writes a frame at the end of this turn; answers its bytes. */
+  const write = (held: { readonly socket: Connection; unsent: Buffer[] }, frame: Frame): number => {
+    const encoded = Buffer.from(sizeDelimitedEncode(FrameSchema, frame));
+    held.unsent.push(encoded);
+    if (held.unsent.length > 1) return encoded.length;
     setImmediate(() => {
       const whole = held.unsent.length === 1 ? held.unsent[0]! : Buffer.concat(held.unsent);
       held.unsent = [];
       counted.sent += whole.length;
       if (!held.socket.destroyed) held.socket.write(whole);
     });
+    return encoded.length;
   };
 
   const open = (address: string): Channel => {
@@ -87,9 +98,9 @@
     let reason = 'the channel closed';
     let connected = false;
     const connecting = setTimeout(() => socket.destroy(new Error('no connection in time')), connectMs);
-    const feed = splitter((frame) => {
+    const feed = splitter((frame, bytes) => {
       if (frame.body.case !== 'answer') throw new Error('an ask came where answers are due');
-      channel.pending.take(frame.index, frame.generation)?.done(frame.body.value);
+      channel.pending.take(frame.index, frame.generation)?.done(frame.body.value, bytes);
     });
     socket.on('connect', () => {
       connected = true;
@@ -119,23 +130,28 @@
     new Promise((resolve, reject) => {
       const channel = open(address);
       const start = performance.now();
+      const call = asked.kind.case === 'call' ? asked.kind.value.name : (asked.kind.case ?? 'none');
+      let sentBytes = 0;
       const place = channel.pending.insert({
-        done: (answer) => {
+        done: (answer, receivedBytes) => {
           clearTimeout(timer);
+          observe({ address, call, sentBytes, receivedBytes });
           resolve(answer);
         },
         failed: (fault) => {
           clearTimeout(timer);
+          observe({ address, call, sentBytes, receivedBytes: 0 });
           reject(fault);
         },
       });
       const timer = setTimeout(() => {
         channel.pending.take(place.index, place.generation);
+        observe({ address, call, sentBytes, receivedBytes: 0 });
         const reason = `no answer to ${asked.kind.case} in ${Math.round(timeLeftMs)} ms`;
         reject(new Fault({ step: 'ask', cohortMember: address, reason, unknown: true }));
         if (channel.heardAt <= start && timeLeftMs >= 300) channel.socket.destroy();
       }, timeLeftMs);
-      write(channel, create(FrameSchema, { wire, ...place, body: { case: 'ask', value: asked } }));
+      sentBytes = write(channel, create(FrameSchema, { wire, ...place, body: { case: 'ask', value: asked } }));
     });
 
   return {
@@ -144,8 +160,13 @@
         const held = { socket, unsent: [] as Buffer[] };
         const feed = splitter(({ body, index, generation }) => {
           if (body.case !== 'ask') throw new Error('an answer came where asks are due');
-          server(body.value, (answer) =>
-            write(held, create(FrameSchema, { wire, index, generation, body: { case: 'answer', value: answer } })),
+          server(
+            body.value,
+            (answer) =>
+              void write(
+                held,
+                create(FrameSchema, { wire, index, generation, body: { case: 'answer', value: answer } }),
+              ),
           );
         });
         socket.on('data', (chunk: Buffer) => {
--- a/src/fleet/core/coreProgram.ts
+++ b/src/fleet/core/coreProgram.ts
@@ -17,6 +17,7 @@
 import type { Followed, FleetSettings, Member, Sampler } from '../fleetTypes.js';
 import type { Program, ProgramTools } from '../program.js';
 import { serveCalls } from '../serveCalls.js';
+import { zonesOf } from '../zonesOf.js';
 import { serveControl } from './serveControl.js';
 import { makeControlHandler } from './controlHandler.js';
 import { makeLoadPermits } from './loadPermits.js';
@@ -151,6 +152,7 @@
     now,
     outlive,
   });
+  tools.metrics.resolveZones(zonesOf(watcher.view));
   const handleAsk = (ask: Ask): Effect.Effect<Answer> => {
     const byVoter = voter.handle(ask);
     const answered =
--- a/src/fleet/dialect.ts
+++ b/src/fleet/dialect.ts
@@ -9,6 +9,8 @@
 export type Reply = { readonly status: number; readonly headers?: OutHeaders; readonly body?: string | Uint8Array };
 /** A call to a sampler. */
 export type SamplerCall = {
+  /** The name under which it is counted. */
+  readonly kind?: string;
   readonly method: string;
   readonly path: string;
   readonly headers: OutHeaders;
--- a/src/fleet/fleetTypes.ts
+++ b/src/fleet/fleetTypes.ts
@@ -12,8 +12,16 @@
   readonly zone: string;
   /** Where the other nodes reach this one. */
   readonly peer: string;
-  /** Where callers reach it: clients, the platform's check of readiness, samplers and operators. */
-  readonly listen: { readonly front?: string; readonly readiness?: string; readonly control?: string };
+  /** Where callers reach it: clients, the check of readiness, samplers and operators. */
+  readonly listen: {
+    readonly front?: string;
+    readonly readiness?: string;
+    readonly control?: string;
+    /** Where an operator reads the process's own counters. */
+    readonly metrics?: string;
+  };
+  /** Between two reports of the counters in the log; none without it. */
+  readonly reportMs?: number;
   /** Peer addresses of cores. */
   readonly seeds: ReadonlyArray<string>;
   readonly data?: string;
--- a/src/fleet/front/frontProgram.ts
+++ b/src/fleet/front/frontProgram.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { watchers } from '../watcher.js';
+import { zonesOf } from '../zonesOf.js';
 import type { FleetSettings, Member } from '../fleetTypes.js';
 import type { Program, ProgramTools } from '../program.js';
 import { makeSamplerClient } from '../samplerClient.js';
@@ -21,7 +22,7 @@
 
 /** Runs a front: it serves callers, and owns the samplers whose items it seats. */
 export const startFront = async (settings: FleetSettings, tools: ProgramTools): Promise<Program> => {
-  const { channels, transport, now, wall, log, dialect } = tools;
+  const { channels, transport, now, wall, log, dialect, metrics } = tools;
   let incarnation = wall();
   const outlive = (former: number): void => {
     incarnation = Math.max(incarnation, former) + 1;
@@ -50,7 +51,8 @@
     tolerance: settings.tolerance,
   });
   const view = watcher.view;
-  const client = makeSamplerClient(channelsMost, now, transport.connect);
+  metrics.resolveZones(zonesOf(view));
+  const client = makeSamplerClient(channelsMost, now, transport.connect, metrics);
   const directory = makeSamplerDirectory({ view, zone: settings.zone, now, chance: Math.random, idle: client.idle });
   const stores = makeStoreCalls({ channels, view, now });
   const asks = { client, directory, dialect, now, chance: Math.random };
--- a/src/fleet/front/ordinaryAsks.ts
+++ b/src/fleet/front/ordinaryAsks.ts
@@ -33,6 +33,7 @@
 const callOf =
   (tools: AskTools, message: IncomingMessage, body: Uint8Array, resumeAfter?: number) =>
   (sampler: Sampler, timeLeftMs: number) => ({
+    kind: 'sampler.request',
     method: message.method ?? 'GET',
     path: message.url ?? '/',
     headers: {
--- a/src/fleet/program.ts
+++ b/src/fleet/program.ts
@@ -1,3 +1,4 @@
+import type { CallMetrics } from '../edge/callMetrics.js';
 import type { Channels } from '../edge/channels.js';
 import type { Context } from 'effect';
 import type { OpenedDisk } from '../node/openDisk.js';
@@ -27,6 +28,7 @@
 /** What every program is given by its edge. */
 export type ProgramTools = Edge & {
   readonly channels: Channels;
+  readonly metrics: CallMetrics;
   readonly disk: OpenedDisk | undefined;
   readonly dialect: Dialect;
   /** A clock that only goes on, in milliseconds. */
--- a/src/fleet/samplerClient.ts
+++ b/src/fleet/samplerClient.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 import { hostPort } from '../shared/hostPort.js';
 import type { Connection } from '../shared/transport.js';
+import type { CallMetrics } from '../edge/callMetrics.js';
 import type { SamplerCall } from './dialect.js';
 
 /** What becomes of one call, told as it happens; exactly one of `ended` and `failed` comes last. */
@@ -52,6 +53,14 @@
 function dropped(this: Socket): void {
   this.destroy();
 }
+/** Bytes of a header line beside its name and value, and of the line before the headers of an answer. */
+const lineBytes = 4;
+const statusLineBytes = 19;
+const headSize = (method: string, path: string, headers: SamplerCall['headers']): number =>
+  Object.entries(headers).reduce((sum, [name, value]) => sum + name.length + value.length + lineBytes, 0) +
+  method.length +
+  path.length +
+  statusLineBytes;
 const lateReason = 'no answer in time';
 
 type Warning = { readonly at: number; readonly idleMs: number };
@@ -61,6 +70,7 @@
   channelsMost: number,
   now: () => number = () => performance.now(),
   connect?: (address: string) => Connection,
+  metrics?: Pick<CallMetrics, 'observe' | 'connected'>,
 ): SamplerClient => {
   const idleSince = new WeakMap<Socket, number>();
   /** The shortest idle time after which an address had forgotten a connection, of late. */
@@ -101,7 +111,7 @@
     warnings.set(address, { at: now(), idleMs: Math.min(before, idleMs) });
   };
   return {
-    call: (address, { method, path, headers, body }, timeLeftMs, events, once = false) => {
+    call: (address, { kind = 'sampler', method, path, headers, body }, timeLeftMs, events, once = false) => {
       calls += 1;
       if (once) for (const socket of idleOf(address)) if (!remembered(address, socket)) socket.destroy();
       let over = false;
@@ -109,11 +119,16 @@
       let [reused, begun] = [false, false];
       let idleMs = 0;
       let connecting: NodeJS.Timeout | undefined;
+      let receivedBytes = 0;
+      const headBytes = headSize(method, path, headers);
+      const note = (): void =>
+        metrics?.observe({ address, call: kind, sentBytes: headBytes + body.length, receivedBytes });
       const finish = (): boolean => {
         if (over) return false;
         over = true;
         clearTimeout(timer);
         clearTimeout(connecting);
+        note();
         return true;
       };
       const asked = {
@@ -150,6 +165,7 @@
           return;
         }
         connections += 1;
+        metrics?.connected(address, kind);
         socket.setNoDelay(true);
         connecting = setTimeout(() => {
           if (!connected) fail('no connection in time');
@@ -163,8 +179,10 @@
       sent.on('response', (message) => {
         if (over) return void message.destroy();
         begun = true;
+        receivedBytes += message.rawHeaders.reduce((sum, each) => sum + each.length + lineBytes / 2, statusLineBytes);
         events.head(message.statusCode ?? 0, message);
         message.on('data', (chunk: Buffer | string) => {
+          receivedBytes += chunk.length;
           if (!over) events.data(chunk);
         });
         message.on('end', () => {
--- /dev/null
+++ b/src/fleet/serveMetrics.ts
@@ -0,0 +1,24 @@
+import { createServer } from 'node:http';
+import type { FleetSettings } from './fleetTypes.js';
+import type { ProgramTools } from './program.js';
+
+const path = '/metrics';
+
+/** Shows a process's counters: as text to whoever asks, and in its log where that is wanted. */
+export const serveMetrics = async (settings: FleetSettings, tools: ProgramTools): Promise<void> => {
+  const { metrics, log } = tools;
+  const address = settings.listen.metrics;
+  if (address !== undefined) {
+    const server = createServer((message, response) => {
+      if (message.url !== path) return void response.writeHead(404).end();
+      void metrics.text().then((text) => response.writeHead(200, { 'content-type': 'text/plain' }).end(text));
+    });
+    await tools.transport.listenHttp(server, address);
+  }
+  if (settings.reportMs === undefined) return;
+  setInterval(() => {
+    void metrics.totals().then((totals) => {
+      for (const total of totals) log.event('calls_counted', { from: settings.zone, ...total });
+    });
+  }, settings.reportMs).unref();
+};
--- a/src/fleet/startFleet.ts
+++ b/src/fleet/startFleet.ts
@@ -1,4 +1,5 @@
 import { Effect } from 'effect';
+import { makeCallMetrics } from '../edge/callMetrics.js';
 import { makeChannels } from '../edge/channels.js';
 import { realDisk } from '../edge/realDisk.js';
 import { realFiles } from '../edge/realFiles.js';
@@ -12,6 +13,7 @@
 import type { Dialect } from './dialect.js';
 import type { FleetSettings } from './fleetTypes.js';
 import type { Edge, Program, ProgramTools } from './program.js';
+import { serveMetrics } from './serveMetrics.js';
 import { startCore } from './core/coreProgram.js';
 import { startFront } from './front/frontProgram.js';
 import { startStore } from './store/storeProgram.js';
@@ -39,14 +41,18 @@
             Effect.provideService(Timepiece, edge.time),
           ),
         );
+  const metrics = makeCallMetrics(settings.zone);
   const tools: ProgramTools = {
     ...edge,
-    channels: makeChannels(edge.transport),
+    metrics,
+    channels: makeChannels(edge.transport, metrics.observe),
     disk,
     dialect,
     now: () => performance.now(),
     wall: () => Date.now(),
   };
   const start = { front: startFront, store: startStore, core: startCore }[settings.role];
-  return start(settings, tools);
+  const program = await start(settings, tools);
+  await serveMetrics(settings, tools);
+  return program;
 };
--- a/src/fleet/store/storeProgram.ts
+++ b/src/fleet/store/storeProgram.ts
@@ -9,6 +9,7 @@
 import { placement } from './placement.js';
 import { makeStoreDesk } from './storeDesk.js';
 import type { Program, ProgramTools } from '../program.js';
+import { zonesOf } from '../zonesOf.js';
 
 const tickMs = 200;
 const confirmMs = 500;
@@ -61,6 +62,7 @@
     outlive,
     tolerance: settings.tolerance,
   });
+  tools.metrics.resolveZones(zonesOf(watcher.view));
   const viewOf = () => watcher.view().followed?.stores ?? { epoch: 0, current: [], previous: [] };
   leader = makeLotLeader({
     self: { name: settings.name, disk: disk.id },
