--- a/src/fleet/core/controlHandler.ts
+++ b/src/fleet/core/controlHandler.ts
@@ -3,7 +3,7 @@
 import type { Outcome, Register } from '../../core/register.js';
 import type { ControlCall, Dialect, Reply } from '../dialect.js';
 import type { Member } from '../fleetTypes.js';
-import { placement } from '../store/placement.js';
+import { placement } from '../../policy/placement.js';
 import type { WatchServer } from './watchServer.js';
 import type { SamplerDepartures } from './samplerDepartures.js';
 
--- a/src/fleet/core/membershipReconciler.ts
+++ b/src/fleet/core/membershipReconciler.ts
@@ -4,7 +4,7 @@
 import type { Channels } from '../../edge/channels.js';
 import type { Change } from '../../shared/configuration.js';
 import type { Member } from '../fleetTypes.js';
-import { placement } from '../store/placement.js';
+import { placement } from '../../policy/placement.js';
 
 /** Keeps the voters and the store view in step with the machines that are there. */
 export type MembershipReconciler = { readonly tick: () => Promise<void> };
--- a/src/fleet/front/desks.ts
+++ b/src/fleet/front/desks.ts
@@ -11,8 +11,8 @@
 import type { OrderLease } from './orderLease.js';
 import { makeWeightLoads } from './weightLoads.js';
 import type { Desk, Known, PullAsk, Running } from './deskTypes.js';
-import { budget, type Running as Reckoned } from './budget.js';
-import { makeOwners } from './owners.js';
+import { budget, type Running as Reckoned } from '../../policy/budget.js';
+import { makeOwners } from '../../policy/owners.js';
 import { makeRatings } from './ratings.js';
 import { makeWords } from './words.js';
 
--- a/src/fleet/store/lotCopies.ts
+++ b/src/fleet/store/lotCopies.ts
@@ -2,7 +2,7 @@
 import type { Channels } from '../../edge/channels.js';
 import { Fault } from '../../shared/fault.js';
 import type { LeaderBallot, LotResult, LotValue, Member, StoreView } from '../fleetTypes.js';
-import { placement } from './placement.js';
+import { placement } from '../../policy/placement.js';
 import type { LotReplica } from './lotReplica.js';
 import type { LotState } from './lotState.js';
 
--- a/src/fleet/store/lotLeader.ts
+++ b/src/fleet/store/lotLeader.ts
@@ -12,7 +12,7 @@
 import { lotReplica, type AppendPart } from './lotReplica.js';
 import { makeLotSync, type LotSync } from './lotSync.js';
 import { lotTakeover } from './lotTakeover.js';
-import { placement } from './placement.js';
+import { placement } from '../../policy/placement.js';
 
 /** Why a lot isn't led here: another store does, or there is no such lot. */
 export type NotLed = { readonly moved: string } | { readonly unknown: true };
--- a/src/fleet/store/lotSync.ts
+++ b/src/fleet/store/lotSync.ts
@@ -4,7 +4,7 @@
 import { lotReplica, type AppendPart } from './lotReplica.js';
 import { lotState } from './lotState.js';
 import { lotTakeover } from './lotTakeover.js';
-import { placement } from './placement.js';
+import { placement } from '../../policy/placement.js';
 
 /** How led lots reach their copies, and how their leaders know that they still lead. */
 export type LotSync = {
--- a/src/fleet/store/lotTakeover.ts
+++ b/src/fleet/store/lotTakeover.ts
@@ -3,7 +3,7 @@
 import type { Led, LeaderOptions, LotCopies, Prepared } from './lotCopies.js';
 import { lotReplica } from './lotReplica.js';
 import { lotState } from './lotState.js';
-import { placement } from './placement.js';
+import { placement } from '../../policy/placement.js';
 
 const { compare, none } = lotReplica;
 
--- a/src/fleet/store/storeProgram.ts
+++ b/src/fleet/store/storeProgram.ts
@@ -6,7 +6,7 @@
 import { openJournal, type Journal } from './journal.js';
 import { makeLotLeader, type LotLeader } from './lotLeader.js';
 import { lotReplica, type ReplicaLog, type ReplicaRecord } from './lotReplica.js';
-import { placement } from './placement.js';
+import { placement } from '../../policy/placement.js';
 import { makeStoreDesk } from './storeDesk.js';
 import type { Program, ProgramTools } from '../program.js';
 import { zonesOf } from '../zonesOf.js';
--- a/src/fleet/front/owners.ts
+++ b/src/policy/owners.ts
@@ -1,5 +1,5 @@
-import { rendezvous } from '../../shared/rendezvous.js';
-import type { Member, Sampler } from '../fleetTypes.js';
+import { rendezvous } from '../shared/rendezvous.js';
+import type { Member, Sampler } from '../fleet/fleetTypes.js';
 
 /** Which front owns each sampler: by rendezvous among the ready fronts of its zone, or among all where it has none. */
 export type Owners = (members: Iterable<Member>) => (sampler: Sampler) => string | undefined;
--- a/src/fleet/store/placement.ts
+++ b/src/policy/placement.ts
@@ -1,7 +1,7 @@
-import type { Voter } from '../../core/paxos.js';
-import type { StoreSeat } from '../../shared/configuration.js';
-import { rendezvous } from '../../shared/rendezvous.js';
-import type { StoreView } from '../fleetTypes.js';
+import type { Voter } from '../core/paxos.js';
+import type { StoreSeat } from '../shared/configuration.js';
+import { rendezvous } from '../shared/rendezvous.js';
+import type { StoreView } from '../fleet/fleetTypes.js';
 
 /** The copies by rendezvous, no zone with more than its share of them where the zones have stores enough. */
 const setOf = (lot: string, members: ReadonlyArray<StoreSeat>, copies: number): ReadonlyArray<StoreSeat> => {
--- a/src/tests/budget.test.ts
+++ b/src/tests/budget.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from '@jest/globals';
 import fc from 'fast-check';
-import { budget, type Running } from '../fleet/front/budget.js';
+import { budget, type Running } from '../policy/budget.js';
 
 const item = fc.record({
   key: fc.uuid(),
--- a/src/tests/lotLogs.test.ts
+++ b/src/tests/lotLogs.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, expect, test } from '@jest/globals';
 import type { Advert, Grant } from '../fleet/fleetTypes.js';
-import { placement } from '../fleet/store/placement.js';
+import { placement } from '../policy/placement.js';
 import type { Sabotage } from './lotFleet.js';
 import { lotRuns, type Kind, type LotRun } from './lotRuns.js';
 
--- a/src/tests/lotPlacement.test.ts
+++ b/src/tests/lotPlacement.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, describe, expect, test } from '@jest/globals';
 import fc from 'fast-check';
-import { placement } from '../fleet/store/placement.js';
+import { placement } from '../policy/placement.js';
 import { configuration, type Configuration, type SeenDisks, type StoreSeat } from '../shared/configuration.js';
 import { rendezvous } from '../shared/rendezvous.js';
 import { lotRuns, type LotRun } from './lotRuns.js';
--- a/src/tests/lotRuns.ts
+++ b/src/tests/lotRuns.ts
@@ -1,6 +1,6 @@
 import type { Advert, Grant, LotBody, LotResult } from '../fleet/fleetTypes.js';
 import { makeStoreCalls, type StoreCalls } from '../fleet/front/storeCalls.js';
-import { placement } from '../fleet/store/placement.js';
+import { placement } from '../policy/placement.js';
 import { texts } from '../shared/texts.js';
 import { makeLotFleet, type LotFleet, type Sabotage } from './lotFleet.js';
 
--- a/src/tests/membershipReconciler.test.ts
+++ b/src/tests/membershipReconciler.test.ts
@@ -3,7 +3,7 @@
 import type { Voter } from '../core/paxos.js';
 import { membershipReconciler } from '../fleet/core/membershipReconciler.js';
 import type { HostBinding, Member, Traffic } from '../fleet/fleetTypes.js';
-import { placement } from '../fleet/store/placement.js';
+import { placement } from '../policy/placement.js';
 import { traffic } from '../fleet/traffic.js';
 
 const store = (name: string, disk = `${name}-disk`): Member => ({
--- a/src/tests/slowStore.test.ts
+++ b/src/tests/slowStore.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, describe, expect, test } from '@jest/globals';
 import type { Advert, Grant, LotResult } from '../fleet/fleetTypes.js';
-import { placement } from '../fleet/store/placement.js';
+import { placement } from '../policy/placement.js';
 import { lotRuns, type LotRun } from './lotRuns.js';
 
 const stores = ['a', 'b', 'c'];
