Entries go at once to a majority of the copies, the leader's zone first

Change: a leader writes to a majority of each set at once; the others get what they lack when a target is late (RFC 6298 over acknowledgements, 20 to 150 ms), when the batch is open for 10 s, when the stores' view changes or another copy takes the lead. The first copy's zone is filled up to its share, so that a majority spans fewer zones. A copy that lags drops its part once a majority ended the batch. Ruled out: a shorter list of copies, which would lower how many disks may be lost.

--- a/src/fleet/store/lotCopies.ts
+++ b/src/fleet/store/lotCopies.ts
@@ -1,5 +1,6 @@
 import type { Voter } from '../../core/paxos.js';
 import type { Channels } from '../../edge/channels.js';
+import type { StoreSeat } from '../../shared/configuration.js';
 import { Fault } from '../../shared/fault.js';
 import type { LeaderBallot, LotResult, LotValue, Member, StoreView } from '../fleetTypes.js';
 import { placement } from '../../policy/placement.js';
@@ -26,6 +27,12 @@
   confirmedAt: number;
   readonly heard: Map<string, number>;
   settledAt: number;
+  /** Since when an entry waits for its majority, or Infinity. */
+  waitingSince: number;
+  /** When the leading began. */
+  readonly begunAt: number;
+  /** The copies that entries go to at once, and the sets that they were chosen of. */
+  targets: { readonly sets: ReadonlyArray<ReadonlyArray<StoreSeat>>; readonly keys: ReadonlySet<string> } | undefined;
   waiting: ReadonlyArray<{
     readonly index: number;
     readonly done: () => void;
@@ -56,8 +63,9 @@
 export type CopyAnswer = {
   readonly ok: boolean;
   readonly promised: LeaderBallot;
-  /** How many entries it holds, where it was asked whom it lets lead. */
+  /** How many entries it holds and whether the end is one of them, where it was asked whom it lets lead. */
   readonly held?: number;
+  readonly ended?: boolean;
 };
 /** What a copy answers to a leader that begins. */
 export type Prepared = CopyAnswer & { readonly ballots: ReadonlyArray<LeaderBallot> };
@@ -65,7 +73,7 @@
 /** How a store reaches the copies of lots. */
 export type LotCopies = {
   readonly own: string;
-  readonly sets: (lot: string) => ReadonlyArray<ReadonlyArray<Voter>>;
+  readonly sets: (lot: string) => ReadonlyArray<ReadonlyArray<StoreSeat>>;
   readonly of: (lot: string) => ReadonlyArray<Voter>;
   readonly address: (voter: Voter) => string | undefined;
   readonly alive: (name: string) => boolean;
--- a/src/fleet/store/lotLeader.ts
+++ b/src/fleet/store/lotLeader.ts
@@ -30,6 +30,8 @@
   readonly tick: () => void;
   /** Lots here that are not known to stand where the present view wants them, with what is known of each. */
   readonly unsettled: () => ReadonlyArray<string>;
+  /** Whether a majority of the other copies says that a lot has ended or that it holds nothing of it. */
+  readonly endedElsewhere: (lot: string) => Promise<boolean>;
   readonly handle: (name: string, body: unknown) => Promise<unknown> | undefined;
 };
 
@@ -96,7 +98,8 @@
     if (led.settledAt >= epoch || led.chosen < led.values.length || led.values.length === 0) return;
     const quorums = copies.sets(led.lot);
     const whole = (each: Voter): boolean => (led.match.get(placement.key(each)) ?? -1) >= led.values.length;
-    if (quorums[0]!.some((each) => copies.address(each) !== undefined && !whole(each))) return;
+    // Of a lot that has ended a majority is enough; one that is open goes to every copy that can be reached.
+    if (!led.state.ended && quorums[0]!.some((each) => copies.address(each) !== undefined && !whole(each))) return;
     if (!placement.quorum(quorums, whole)) return;
     led.settledAt = epoch;
     for (const voter of copies.of(led.lot))
@@ -168,8 +171,9 @@
       Promise.resolve(
         parts.map(({ lot, ballot }) => {
           const promised = promisedOf(lot);
-          const held = replica.logs.get(lot)?.entries.length ?? 0;
-          return { ok: lotReplica.compare(promised, ballot) <= 0, promised, held };
+          const entries = replica.logs.get(lot)?.entries ?? [];
+          const ended = entries.at(-1)?.value.kind === 'end';
+          return { ok: lotReplica.compare(promised, ballot) <= 0, promised, held: entries.length, ended };
         }),
       ),
     'lot.settled': async ({ lot, epoch }: { lot: string; epoch: number }) => replica.settle(lot, epoch),
@@ -185,6 +189,7 @@
       new Promise((done, failed) => {
         if (ledLots.get(led.lot) !== led)
           return failed(new Fault({ step: 'lead lot', reason: `${led.lot} is led elsewhere`, unknown: false }));
+        if (led.chosen === led.values.length) led.waitingSince = now();
         led.values.push(value);
         led.waiting = [...led.waiting, { index: led.values.length - 1, done, failed }];
         sync.schedule();
@@ -207,6 +212,22 @@
       }
       return lots;
     },
+    endedElsewhere: async (lot) => {
+      const over = new Set<string>();
+      const parts = [{ lot, ballot: lotReplica.none }];
+      await Promise.all(
+        copies.of(lot).map(async (copy) => {
+          if (placement.key(copy) === copies.own) return;
+          try {
+            const [answer] = (await copies.call(copy, 'lot.confirm', { parts })) as CopyAnswer[];
+            if (answer!.ended === true || answer!.held === 0) over.add(placement.key(copy));
+          } catch {
+            // A copy that can't be asked counts as holding the lot.
+          }
+        }),
+      );
+      return placement.quorum(copies.sets(lot), (copy) => over.has(placement.key(copy)));
+    },
     handle: (name, body) => {
       const handler = (handlers as Record<string, (body: never) => Promise<unknown>>)[name];
       if (!handler) return undefined;
--- a/src/fleet/store/lotSync.ts
+++ b/src/fleet/store/lotSync.ts
@@ -5,6 +5,8 @@
 import { lotState } from './lotState.js';
 import { lotTakeover } from './lotTakeover.js';
 import { placement } from '../../policy/placement.js';
+import { responseTimes } from '../../policy/responseTimes.js';
+import { replicationTargets } from '../../policy/replicationTargets.js';
 
 /** How led lots reach their copies, and how their leaders know that they still lead. */
 export type LotSync = {
@@ -18,6 +20,13 @@
 
 const partBytes = 512 * 1024;
 const confirmMs = 700;
+/** Bounds of how long an entry may wait for the targets before it goes to every copy. */
+const lateLeastMs = 20;
+const lateMostMs = 150;
+/** How long a copy that was late or silent is no target where another can be. */
+const unresponsiveMs = 2000;
+/** A lot that is open for so long goes to every copy. */
+const longOpenMs = 10_000;
 
 const sizeOf = (value: AppendPart['entries'][number]['v']): number =>
   value.kind === 'result'
@@ -55,6 +64,52 @@
   const { replica, now } = options;
   const { own } = copies;
   const pumping = new Set<string>();
+  const unresponsiveUntil = new Map<string, number>();
+
+  let acknowledged = responseTimes.none;
+  let checking: NodeJS.Timeout | undefined;
+
+  const lateAfterMs = (): number => responseTimes.lateAfterMs(acknowledged, lateLeastMs, lateMostMs);
+  const noteLate = (voter: Voter): void => void unresponsiveUntil.set(placement.key(voter), now() + unresponsiveMs);
+  const responsive = (voter: Voter): boolean =>
+    copies.address(voter) !== undefined && (unresponsiveUntil.get(placement.key(voter)) ?? 0) <= now();
+  const heldBy = (led: Led, voter: Voter): number => led.match.get(placement.key(voter)) ?? -1;
+  /** Targets stay until the sets change or one does not respond: each change costs what the new one lacks. */
+  const chosenTargets = (led: Led): ReadonlySet<string> => {
+    const sets = copies.sets(led.lot);
+    const usable = (voter: Voter): boolean => placement.key(voter) === own || responsive(voter);
+    const known = led.targets;
+    if (
+      known?.sets === sets &&
+      copies.of(led.lot).every((each) => !known.keys.has(placement.key(each)) || usable(each))
+    )
+      return known.keys;
+    const keys = replicationTargets({ sets, self: options.self, responsive, held: (each) => heldBy(led, each) });
+    led.targets = { sets, keys };
+    return keys;
+  };
+  const isLate = (led: Led): boolean => now() - led.waitingSince > lateAfterMs();
+  /** The keys of the copies that a lot's entries go to now. */
+  const targetsOf = (led: Led): ReadonlySet<string> => {
+    const unsettled = led.settledAt < options.view().epoch || now() - led.begunAt > longOpenMs;
+    if (!isLate(led) && (led.state.ended || !unsettled)) return chosenTargets(led);
+    return new Set(copies.of(led.lot).map((voter) => placement.key(voter)));
+  };
+  const noteLateTargets = (led: Led): void => {
+    if (!isLate(led)) return;
+    for (const voter of copies.of(led.lot)) {
+      const key = placement.key(voter);
+      if (key !== own && led.targets?.keys.has(key) && heldBy(led, voter) <= led.chosen) noteLate(voter);
+    }
+  };
+  /** Looks again once what waits now would be late. */
+  const checkLater = (): void => {
+    checking ??= setTimeout(() => {
+      checking = undefined;
+      for (const led of leds()) noteLateTargets(led);
+      pumpAll();
+    }, lateAfterMs() + 1);
+  };
 
   const advance = (led: Led): void => {
     const quorums = copies.sets(led.lot);
@@ -62,6 +117,7 @@
     while (led.chosen < led.values.length && placement.quorum(quorums, holds)) {
       const value = led.values[led.chosen]!;
       led.chosen += 1;
+      led.waitingSince = led.chosen < led.values.length ? now() : Infinity;
       options.chosen(led, value, lotState.step(led.state, value));
     }
     const ready = led.waiting.filter((waiting) => waiting.index < led.chosen);
@@ -92,6 +148,7 @@
     for (const led of [...leds()]) {
       const matched = led.match.get(key);
       if (matched === undefined || matched >= led.values.length || bytes > partBytes) continue;
+      if (!targetsOf(led).has(key)) continue;
       if (matched < 0) {
         const askedAt = now();
         const info = (await copies.call(voter, 'lot.prepare', { lot: led.lot, ballot: led.ballot })) as Prepared;
@@ -112,6 +169,7 @@
       const askedAt = now();
       const parts = batch.map(({ part }) => part);
       const heard = (await copies.call(voter, 'lot.append', { parts }, 2500)) as CopyAnswer[];
+      acknowledged = responseTimes.after(acknowledged, now() - askedAt);
       let gaps = 0;
       batch.forEach(({ led, part }, place) => {
         if (answered(led, voter, heard[place]!, askedAt)) {
@@ -141,17 +199,22 @@
   };
   const pumpAll = (): void => {
     const behind = new Map<string, Voter>();
-    for (const led of leds())
+    for (const led of leds()) {
+      if (led.waitingSince !== Infinity) checkLater();
+      const targets = targetsOf(led);
       for (const voter of copies.of(led.lot)) {
         const key = placement.key(voter);
         if (!led.match.has(key)) led.match.set(key, -1);
-        if (led.match.get(key)! < led.values.length) behind.set(key, voter);
+        if (targets.has(key) && led.match.get(key)! < led.values.length) behind.set(key, voter);
       }
+    }
     for (const [key, voter] of behind) {
       if (pumping.has(key)) continue;
       pumping.add(key);
       // A copy that is gone or a disk that refuses is tried again at the next tick.
-      void (key === own ? pumpOwn() : pump(voter)).catch(() => undefined).finally(() => pumping.delete(key));
+      void (key === own ? pumpOwn() : pump(voter))
+        .catch(() => key !== own && noteLate(voter))
+        .finally(() => pumping.delete(key));
     }
   };
   let scheduled = false;
--- a/src/fleet/store/lotTakeover.ts
+++ b/src/fleet/store/lotTakeover.ts
@@ -113,7 +113,11 @@
     state: lotState.fresh(),
     confirmedAt: askedAt,
     heard: new Map(),
-    settledAt: 0,
+    // A lot that begins here is written to a majority of the present view's sets.
+    settledAt: length === 0 ? options.view().epoch : 0,
+    waitingSince: length === 0 ? Infinity : now(),
+    begunAt: now(),
+    targets: undefined,
     waiting: [],
     open: true,
   };
--- a/src/fleet/store/storeProgram.ts
+++ b/src/fleet/store/storeProgram.ts
@@ -78,6 +78,17 @@
     deposed: desk.deposed,
     event: log.event,
   });
+  const dropWhole = (lot: string): void => {
+    const led = leader.get(lot);
+    if (led) leader.stepDown(led, 'kept long enough');
+    replica.drop(lot);
+  };
+  /** A copy that lags behind has no end of its own; it goes once a majority has ended the lot or dropped it. */
+  const dropPart = async (lot: string): Promise<void> => {
+    if (leader.get(lot) || !(await leader.endedElsewhere(lot)) || leader.get(lot)) return;
+    log.event('part_of_lot_dropped', { lot });
+    replica.drop(lot);
+  };
   await serveCalls(channels, settings.peer, handle, log);
   state = 'ready';
   log.event('started', { role: 'store', disk: disk.id, lots: logs.size, journalBytes: journal.stats().bytes });
@@ -89,11 +100,9 @@
     setInterval(() => void leader.confirmAll(), confirmMs),
     setInterval(() => {
       for (const [lot, kept] of logs) {
-        const ended = kept.entries.some((entry) => entry.value.kind === 'end');
-        if (!ended || now() - kept.touchedAt < settings.bounds.keepLotsMs * 1.5) continue;
-        const led = leader.get(lot);
-        if (led) leader.stepDown(led, 'kept long enough');
-        replica.drop(lot);
+        if (kept.entries.length === 0 || now() - kept.touchedAt < settings.bounds.keepLotsMs * 1.5) continue;
+        if (kept.entries.at(-1)!.value.kind !== 'end') void dropPart(lot);
+        else dropWhole(lot);
       }
       void journal.retire((lot) => (logs.get(lot)?.entries.length ?? 0) > 0).catch(() => undefined);
     }, retireMs),
