--- a/src/edge/callMetrics.ts
+++ b/src/edge/callMetrics.ts
@@ -15,6 +15,7 @@
   readonly calls: number;
   readonly sentBytes: number;
   readonly receivedBytes: number;
+  readonly connections: number;
 };
 
 /** What a process counts of the calls that it makes. The callee counts nothing, so that no byte counts twice. */
@@ -59,13 +60,21 @@
       zoneOf = resolve;
     },
     totals: async () => {
-      const [counted, out, back] = await Promise.all([calls.get(), sent.get(), received.get()]);
-      return counted.values.map(({ labels: { call, to_zone: zone }, value }, place) => ({
+      const [counted, out, back, opened] = await Promise.all([
+        calls.get(),
+        sent.get(),
+        received.get(),
+        connections.get(),
+      ]);
+      const valueOf = ({ values }: typeof counted, call: unknown, zone: unknown): number =>
+        values.find(({ labels: { call: name, to_zone: to } }) => name === call && to === zone)?.value ?? 0;
+      return counted.values.map(({ labels: { call, to_zone: zone }, value }) => ({
         call: String(call),
         zone: String(zone),
         calls: value,
-        sentBytes: out.values[place]!.value,
-        receivedBytes: back.values[place]!.value,
+        sentBytes: valueOf(out, call, zone),
+        receivedBytes: valueOf(back, call, zone),
+        connections: valueOf(opened, call, zone),
       }));
     },
     text: () => registry.metrics(),
