--- a/src/tests/callMetrics.test.ts
+++ b/src/tests/callMetrics.test.ts
@@ -73,7 +73,13 @@
       () => client.close(),
       () => server.close(),
     );
-    const asked = { kind: 'sampler.item', method: 'POST', path: '/p', headers: {}, body: Buffer.from('12345') };
+    const asked = {
+      kind: 'sampler.item',
+      method: 'POST',
+      path: '/p',
+      headers: { Host: 'h' },
+      body: Buffer.from('12345'),
+    };
     for (let at = 0; at < 2; at += 1) {
       await new Promise<void>((resolve, reject) => {
         client.call(address, asked, 2000, {
