A late target alone is replaced; several wait for the longest time

Lateness allows for the bytes that wait; acknowledgements that lie unread are read first; one late target is replaced by one copy.

--- a/src/fleet/store/lotSync.ts
+++ b/src/fleet/store/lotSync.ts
@@ -20,9 +20,13 @@
 
 const partBytes = 512 * 1024;
 const confirmMs = 700;
-/** Bounds of how long an entry may wait for the targets before it goes to every copy. */
+/** Bounds of how long an entry may wait for a target; after the longest time it goes to every copy. */
 const lateLeastMs = 20;
 const lateMostMs = 150;
+/** A copy takes in and syncs this much at least; larger entries may take as much longer. */
+const leastBytesPerMs = 8 * 1024;
+/** Acknowledgements of less than this tell how soon a copy answers. */
+const timedMostBytes = 64 * 1024;
 /** How long a copy that was late or silent is no target where another can be. */
 const unresponsiveMs = 2000;
 /** A lot that is open for so long goes to every copy. */
@@ -35,8 +39,10 @@
       ? value.body.items.length * 1500
       : 20;
 
+type SizedPart = AppendPart & { readonly bytes: number };
+
 /** The entries that a copy lacks, as one part. */
-const partFor = (led: Led, matched: number): AppendPart & { readonly bytes: number } => {
+const partFor = (led: Led, matched: number): SizedPart => {
   const entries: Array<AppendPart['entries'][number]> = [];
   let bytes = 0;
   for (let i = matched; i < led.values.length && bytes < partBytes; i += 1) {
@@ -88,26 +94,44 @@
     led.targets = { sets, keys };
     return keys;
   };
-  const isLate = (led: Led): boolean => now() - led.waitingSince > lateAfterMs();
+  const waitingBytes = (led: Led): number => {
+    let bytes = 0;
+    for (let i = led.chosen; i < led.values.length && bytes < partBytes; i += 1) bytes += sizeOf(led.values[i]!);
+    return bytes;
+  };
+  const waitedLonger = (led: Led, mostMs: number): boolean => {
+    const waitedMs = now() - led.waitingSince;
+    return waitedMs > mostMs && waitedMs > mostMs + waitingBytes(led) / leastBytesPerMs;
+  };
   /** The keys of the copies that a lot's entries go to now. */
   const targetsOf = (led: Led): ReadonlySet<string> => {
     const unsettled = led.settledAt < options.view().epoch || now() - led.begunAt > longOpenMs;
-    if (!isLate(led) && (led.state.ended || !unsettled)) return chosenTargets(led);
+    const targetsAreEnough = led.state.ended || !unsettled;
+    if (targetsAreEnough && !waitedLonger(led, lateMostMs)) return chosenTargets(led);
     return new Set(copies.of(led.lot).map((voter) => placement.key(voter)));
   };
-  const noteLateTargets = (led: Led): void => {
-    if (!isLate(led)) return;
-    for (const voter of copies.of(led.lot)) {
-      const key = placement.key(voter);
-      if (key !== own && led.targets?.keys.has(key) && heldBy(led, voter) <= led.chosen) noteLate(voter);
-    }
+  /**
+   * Another copy takes the place of a target that alone is late. Where several are, or the leader's own disk, it is
+   * rather the leader that is slow; they are given the longest time, and then entries go to every copy.
+   */
+  const replaceLateTarget = (led: Led): void => {
+    if (!waitedLonger(led, lateAfterMs())) return;
+    const late = copies.of(led.lot).filter((voter) => {
+      return led.targets?.keys.has(placement.key(voter)) && heldBy(led, voter) <= led.chosen;
+    });
+    const [only] = late;
+    if (late.length !== 1 || placement.key(only!) === own || !responsive(only!)) return;
+    noteLate(only!);
+    options.event('copy_late', { lot: led.lot, copy: only!.name, ms: Math.round(now() - led.waitingSince) });
   };
-  /** Looks again once what waits now would be late. */
+  /** Looks again once what waits now would be late, and only after acknowledgements that lie here unread. */
   const checkLater = (): void => {
     checking ??= setTimeout(() => {
-      checking = undefined;
-      for (const led of leds()) noteLateTargets(led);
-      pumpAll();
+      setImmediate(() => {
+        checking = undefined;
+        for (const led of leds()) replaceLateTarget(led);
+        pumpAll();
+      });
     }, lateAfterMs() + 1);
   };
 
@@ -141,9 +165,9 @@
     return ok;
   };
 
-  const batchFor = async (voter: Voter): Promise<ReadonlyArray<{ led: Led; part: AppendPart }>> => {
+  const batchFor = async (voter: Voter): Promise<ReadonlyArray<{ led: Led; part: SizedPart }>> => {
     const key = placement.key(voter);
-    const batch: Array<{ led: Led; part: AppendPart }> = [];
+    const batch: Array<{ led: Led; part: SizedPart }> = [];
     let bytes = 0;
     for (const led of [...leds()]) {
       const matched = led.match.get(key);
@@ -169,7 +193,8 @@
       const askedAt = now();
       const parts = batch.map(({ part }) => part);
       const heard = (await copies.call(voter, 'lot.append', { parts }, 2500)) as CopyAnswer[];
-      acknowledged = responseTimes.after(acknowledged, now() - askedAt);
+      const bytes = batch.reduce((sum, { part }) => sum + part.bytes, 0);
+      if (bytes < timedMostBytes) acknowledged = responseTimes.after(acknowledged, now() - askedAt);
       let gaps = 0;
       batch.forEach(({ led, part }, place) => {
         if (answered(led, voter, heard[place]!, askedAt)) {
