The watch feed tells versions of weights by the next poll and unchanged parts not at all

Change: versions of weights ride the next poll; stores and voters come only when they changed; a node says its whole self once to each life of a core.

--- a/src/fleet/core/watchServer.ts
+++ b/src/fleet/core/watchServer.ts
@@ -1,4 +1,4 @@
-import type { WatchResponse, WatchRequest } from '../watcher.js';
+import type { FollowedChange, WatchResponse, WatchRequest } from '../watcher.js';
 import { watchers } from '../watcher.js';
 import type { Followed, Member, Sampler } from '../fleetTypes.js';
 
@@ -27,6 +27,20 @@
 const goneKeptMs = 90_000;
 const gatherDefaultMs = 100;
 
+/** Whether watchers hear of a change at once, with their next poll, or not at all. */
+type Urgency = 'atOnce' | 'nextPoll' | 'never';
+
+/**
+ * How urgent a newer word of a sampler is. Versions of weights can wait for the next poll: whoever hands items to it
+ * sees its versions in its answers, and others only need them once they take it over.
+ */
+const urgencyOf = (before: Sampler | undefined, after: Sampler): Urgency => {
+  if (!before) return 'atOnce';
+  const without = (sampler: Sampler): string => JSON.stringify({ ...sampler, beat: 0, models: {} });
+  if (without(before) !== without(after)) return 'atOnce';
+  return JSON.stringify(before.models) === JSON.stringify(after.models) ? 'never' : 'nextPoll';
+};
+
 /** What makes a node's word news: not the sequence that it follows. */
 const told = (member: Member): string => JSON.stringify({ ...member, sequence: 0 });
 
@@ -50,6 +64,8 @@
   let selfAt = 1;
   const samplers = new Map<string, Kept>();
   let revision = 1;
+  /** The last revision that watchers are to hear of at once. */
+  let urgentRevision = 1;
   for (const sampler of options.known ?? []) samplers.set(sampler.id, { sampler, revision, heardAt: now() });
   let membersAt = 1;
   let waiting: Array<() => void> = [];
@@ -74,11 +90,15 @@
   /** The wall clock may go back; the order in which lives were heard of may not. */
   let lastBorn = Math.max(0, ...(options.known ?? []).map((sampler) => sampler.born));
   const bornNow = (): number => Math.max(options.wall(), lastBorn + 1);
-  const keep = (sampler: Sampler, heardAt: number | undefined, quietly = false): void => {
+  const keep = (sampler: Sampler, heardAt: number | undefined, urgency: Urgency = 'atOnce'): void => {
     lastBorn = Math.max(lastBorn, sampler.born);
-    if (!quietly) revision += 1;
-    samplers.set(sampler.id, { sampler, revision: quietly ? samplers.get(sampler.id)!.revision : revision, heardAt });
-    if (!quietly) wake();
+    if (urgency !== 'never') revision += 1;
+    const at = urgency === 'never' ? samplers.get(sampler.id)!.revision : revision;
+    samplers.set(sampler.id, { sampler, revision: at, heardAt });
+    if (urgency === 'atOnce') {
+      urgentRevision = revision;
+      wake();
+    }
   };
   const list = (): ReadonlyArray<Member> => [options.self(), ...[...members.values()].map(({ member }) => member)];
 
@@ -95,6 +115,21 @@
     wake();
     return undefined;
   };
+  /** The sequence at which stores and voters were first seen as they are; they did not change after it. */
+  let layoutAt = 0;
+  let layout = '';
+  const changeOf = (followed: Followed, ask: WatchRequest): FollowedChange => {
+    const { sequence, models, stores, voters, electorate, traffic } = followed;
+    const current = JSON.stringify([stores, voters, electorate]);
+    if (current !== layout) layoutAt = sequence;
+    layout = current;
+    return {
+      sequence,
+      models,
+      ...(layoutAt > ask.sequence && { stores, voters, electorate }),
+      ...(traffic && traffic.version !== ask.trafficVersion && { traffic: { ...traffic, document: '' } }),
+    };
+  };
   const news = (ask: WatchRequest): WatchResponse | undefined => {
     const from = ask.incarnation === options.incarnation ? ask.revision : 0;
     const followed = options.followed();
@@ -116,32 +151,34 @@
         left: [...left].filter(([, each]) => each.revision > from).map(([name]) => name),
       }),
       ...(changed.length > 0 && { samplers: changed }),
-      ...(newer && {
-        followed: {
-          sequence: newer.sequence,
-          models: newer.models,
-          stores: newer.stores,
-          voters: newer.voters,
-          electorate: newer.electorate,
-          ...(newer.traffic &&
-            newer.traffic.version !== ask.trafficVersion && { traffic: { ...newer.traffic, document: '' } }),
-        },
-      }),
+      ...(newer && { followed: changeOf(newer, ask) }),
     };
   };
 
+  /** Takes that a node is still there; false where it has to say more of itself. */
+  const heardOf = ({ name, incarnation }: Pick<Member, 'name' | 'incarnation'>): boolean => {
+    const known = members.get(name);
+    if (known?.member.incarnation !== incarnation) return false;
+    members.set(name, { ...known, heardAt: now() });
+    return true;
+  };
+  const urgentFor = (ask: WatchRequest): boolean =>
+    ask.incarnation !== options.incarnation ||
+    ask.revision < Math.max(urgentRevision, membersAt) ||
+    (options.followed()?.sequence ?? 0) > ask.sequence;
+
   return {
     tell,
     follow: (ask) => {
-      const outlived = tell(ask.self);
-      if (outlived !== undefined)
-        return Promise.resolve({
-          core: options.self().name,
-          incarnation: options.incarnation,
-          revision: ask.incarnation === options.incarnation ? ask.revision : 0,
-          outlived,
-        });
-      const at = news(ask);
+      const unchanged = {
+        core: options.self().name,
+        incarnation: options.incarnation,
+        revision: ask.incarnation === options.incarnation ? ask.revision : 0,
+      };
+      if (ask.brief && !heardOf(ask.brief)) return Promise.resolve({ ...unchanged, selfUnknown: true });
+      const outlived = ask.self && tell(ask.self);
+      if (outlived !== undefined) return Promise.resolve({ ...unchanged, outlived });
+      const at = urgentFor(ask) ? news(ask) : undefined;
       const first = ask.incarnation !== options.incarnation || ask.revision === 0;
       if (at && (first || now() - wokeAt >= gatherMs)) return Promise.resolve(at);
       if (at) wake();
@@ -167,26 +204,22 @@
       const known = samplers.get(told.id);
       if (known?.sampler.state === 'gone') return false;
       if (known && told.state !== 'gone' && told.beat <= known.sampler.beat) {
-        keep(known.sampler, now(), true);
+        keep(known.sampler, now(), 'never');
         return false;
       }
       const next: Sampler = { ...told, quiet: false, born: known?.sampler.born ?? bornNow() };
-      const { beat: _old, ...before } = known?.sampler ?? { beat: 0 };
-      const { beat: _new, ...after } = next;
-      const changed = JSON.stringify(before) !== JSON.stringify(after);
-      keep(next, now(), !changed);
-      return changed;
+      const urgency = urgencyOf(known?.sampler, next);
+      keep(next, now(), urgency);
+      return urgency !== 'never';
     },
     hear: (told) => {
       const known = samplers.get(told.id);
       if (!known) return keep(told, undefined);
       const heard = watchers.later(known.sampler, told);
       if (heard === told) {
-        const { beat: _old, ...before } = known.sampler;
-        const { beat: _new, ...after } = told;
         // Whoever heard it last watches over it.
         const passed = told.state !== 'gone' && told.beat > known.sampler.beat;
-        keep(told, passed ? undefined : known.heardAt, JSON.stringify(before) === JSON.stringify(after));
+        keep(told, passed ? undefined : known.heardAt, urgencyOf(known.sampler, told));
       } else if (told.quiet && !known.sampler.quiet && known.sampler.beat > told.beat)
         keep(known.sampler, known.heardAt);
     },
--- a/src/fleet/watcher.ts
+++ b/src/fleet/watcher.ts
@@ -1,17 +1,23 @@
 import type { Channels } from '../edge/channels.js';
 import { rendezvous } from '../shared/rendezvous.js';
 import { table } from '../shared/table.js';
-import type { Followed, Member, Sampler, Traffic } from './fleetTypes.js';
+import type { Followed, Member, Sampler } from './fleetTypes.js';
 
 /** What a watcher says it knows already. */
 export type WatchRequest = {
-  readonly self: Member;
+  /** The asking node; only its name and life where this life of the core was told the rest before. */
+  readonly self?: Member;
+  readonly brief?: Pick<Member, 'name' | 'incarnation'>;
   readonly incarnation: number;
   readonly revision: number;
   readonly sequence: number;
   readonly trafficVersion: number;
 };
 
+/** What moved on in the register; parts that did not change since the sequence of the request are left out. */
+export type FollowedChange = Pick<Followed, 'sequence' | 'models'> &
+  Partial<Pick<Followed, 'stores' | 'voters' | 'electorate' | 'traffic'>>;
+
 /** What is newer at a core. */
 export type WatchResponse = {
   readonly core: string;
@@ -21,7 +27,9 @@
   readonly members?: ReadonlyArray<Member>;
   readonly left?: ReadonlyArray<string>;
   readonly samplers?: ReadonlyArray<Sampler>;
-  readonly followed?: Omit<Followed, 'traffic'> & { readonly traffic?: Traffic };
+  readonly followed?: FollowedChange;
+  /** The core knows no more of the asking node than what it was told just now. */
+  readonly selfUnknown?: boolean;
   /** A former life of the asking node is known under this incarnation, so its word was not taken. */
   readonly outlived?: number;
 };
@@ -55,6 +63,12 @@
   readonly samplers: ReadonlyMap<string, Sampler>;
 };
 
+const nothingFollowed: Omit<Followed, 'sequence' | 'models'> = {
+  stores: { epoch: 0, current: [], previous: [] },
+  voters: [],
+  electorate: 0,
+  traffic: undefined,
+};
 const pullMs = 2000;
 const staleMs = 2600;
 const pauseMs = 250;
@@ -150,7 +164,7 @@
     });
     const had = state.get().followed;
     const newer = heard.followed && heard.followed.sequence > (had?.sequence ?? 0) ? heard.followed : undefined;
-    const followed = newer ? { ...newer, traffic: newer.traffic ?? had?.traffic } : had;
+    const followed = newer ? { ...nothingFollowed, ...had, ...newer } : had;
     const revived = known === undefined || now() - known.heardAt > staleMs;
     if (newer || heard.members || heard.samplers || revived) publish(followed);
   };
@@ -159,11 +173,16 @@
     running.add(address);
     void (async () => {
       let faults = 0;
+      /** What this life of the core was told of this node. */
+      let told: { readonly core: number; readonly text: string } | undefined;
       while (!stopped) {
         const known = cores.get(address);
         const { followed } = state.get();
+        const self = options.self();
+        const text = JSON.stringify(self);
+        const brief = told?.text === text && told.core === known?.incarnation;
         const ask: WatchRequest = {
-          self: options.self(),
+          ...(brief ? { brief: { name: self.name, incarnation: self.incarnation } } : { self }),
           incarnation: known?.incarnation ?? 0,
           revision: known?.revision ?? 0,
           sequence: followed?.sequence ?? 0,
@@ -172,12 +191,15 @@
         try {
           const heard = (await channels.call(address, 'watch.poll', ask, pullMs)) as WatchResponse;
           faults = 0;
+          told = undefined;
+          if (heard.selfUnknown) continue;
           if (heard.outlived !== undefined) {
             const behind = heard.outlived >= options.self().incarnation;
             if (behind && !options.outlive) throw new Error(`a former life is known as ${heard.outlived}`);
             if (behind) options.outlive!(heard.outlived);
             continue;
           }
+          told = { core: heard.incarnation, text };
           take(address, heard);
           if (!wanted(address)) break;
         } catch {
--- /dev/null
+++ b/src/tests/watchUrgency.test.ts
@@ -0,0 +1,89 @@
+import { afterEach, beforeEach, expect, jest, test } from '@jest/globals';
+import { makeWatchServer, type WatchServer } from '../fleet/core/watchServer.js';
+import type { Sampler } from '../fleet/fleetTypes.js';
+import type { WatchRequest, WatchResponse } from '../fleet/watcher.js';
+import { memberOf } from './memberOf.js';
+import { turns } from './turns.js';
+
+const holdMs = 900;
+const front = memberOf('front-1', 'front');
+const announced = (beat: number, version: number, state: Sampler['state'] = 'ready') => ({
+  id: 's1',
+  service: 'lm',
+  address: '10.0.0.1:80',
+  zone: 'a',
+  slots: 6,
+  state,
+  beat,
+  models: { m0: version },
+});
+
+let server: WatchServer;
+beforeEach(() => {
+  jest.useFakeTimers({ now: 10_000, doNotFake: ['nextTick', 'setImmediate', 'queueMicrotask', 'performance'] });
+  const core = memberOf('core-1', 'core');
+  server = makeWatchServer({
+    self: () => core,
+    incarnation: 1,
+    beatMs: 1200,
+    now: Date.now,
+    wall: Date.now,
+    followed: () => undefined,
+    gatherMs: 0,
+  });
+});
+afterEach(() => {
+  jest.useRealTimers();
+});
+const ask = (revision: number): WatchRequest => ({
+  self: front,
+  incarnation: revision === 0 ? 0 : 1,
+  revision,
+  sequence: 0,
+  trafficVersion: 0,
+});
+/** A watcher that knows of the sampler and polls again. */
+const following = async (): Promise<{ readonly answer: () => WatchResponse | undefined }> => {
+  server.announce(announced(1, 1));
+  const { revision } = await server.follow(ask(0));
+  await turns.pass(3);
+  let answer: WatchResponse | undefined;
+  void server.follow(ask(revision)).then((heard) => (answer = heard));
+  await turns.pass(3);
+  return { answer: () => answer };
+};
+
+test('a sampler that drains is told at once, and its newer weights with it', async () => {
+  const { answer } = await following();
+  server.announce(announced(2, 2));
+  await turns.pass(3);
+  expect(answer()).toBeUndefined();
+  server.announce(announced(3, 2, 'draining'));
+  await turns.pass(3);
+  expect(answer()?.samplers).toMatchObject([{ id: 's1', state: 'draining', models: { m0: 2 } }]);
+});
+
+test('newer weights wait for the end of the poll, and do not end the one after it', async () => {
+  const { answer } = await following();
+  server.announce(announced(2, 2));
+  jest.advanceTimersByTime(holdMs + 1);
+  await turns.pass(3);
+  expect(answer()?.samplers).toMatchObject([{ models: { m0: 2 } }]);
+  server.announce(announced(3, 3));
+  let next: WatchResponse | undefined;
+  void server.follow(ask(answer()!.revision)).then((heard) => (next = heard));
+  await turns.pass(3);
+  expect(next).toBeUndefined();
+  jest.advanceTimersByTime(holdMs + 1);
+  await turns.pass(3);
+  expect(next?.samplers).toMatchObject([{ models: { m0: 3 } }]);
+});
+
+test('a beat alone is told to nobody', async () => {
+  const { answer } = await following();
+  server.announce(announced(2, 1));
+  jest.advanceTimersByTime(holdMs + 1);
+  await turns.pass(3);
+  expect(answer()).toBeDefined();
+  expect(answer()?.samplers).toBeUndefined();
+});
