--- a/src/edge/channels.ts
+++ b/src/edge/channels.ts
@@ -6,6 +6,7 @@
 import { slab, type Slab } from '../shared/slab.js';
 import type { Connection, Listener, Transport } from '../shared/transport.js';
 import type { CallSize } from './callMetrics.js';
+import { packedFrames } from './packedFrames.js';
 import { packing } from './packing.js';
 import { realTransport } from './realTransport.js';
 
@@ -51,7 +52,7 @@
       if (peeked.size > mostBytes) throw new Error(`a frame of ${peeked.size} bytes is over the limit`);
       needed = peeked.offset + peeked.size;
       if (all.length < needed) break;
-      const frame = fromBinary(FrameSchema, all.subarray(peeked.offset, needed));
+      const frame = packedFrames.unpack(fromBinary(FrameSchema, all.subarray(peeked.offset, needed)));
       if (frame.wire !== wire) throw new Error(`a frame of wire version ${frame.wire}, not ${wire}`);
       const bytes = needed;
       all = all.subarray(bytes);
@@ -77,7 +78,7 @@
 
   /** Writes a frame at the end of this turn; answers its bytes. */
   const write = (held: { readonly socket: Connection; unsent: Buffer[] }, frame: Frame): number => {
-    const encoded = Buffer.from(sizeDelimitedEncode(FrameSchema, frame));
+    const encoded = Buffer.from(sizeDelimitedEncode(FrameSchema, packedFrames.pack(frame)));
     held.unsent.push(encoded);
     if (held.unsent.length > 1) return encoded.length;
     setImmediate(() => {
