--- a/src/fleet/front/samplerDirectory.ts
+++ b/src/fleet/front/samplerDirectory.ts
@@ -1,4 +1,5 @@
 import type { FleetView } from '../watcher.js';
+import { samplerCost } from '../../policy/samplerCost.js';
 import type { Sampler } from '../fleetTypes.js';
 
 /** Which sampler takes a request, by what is announced and by what this front has seen of each. */
@@ -16,11 +17,8 @@
 type Seen = { out: number; ewmaMs: number; awayUntil: number; okAt: number; faults: number; faultAt: number };
 
 const freshMs = 30;
-const foreignCost = 1.25;
-const quietCost = 4;
-const connectCost = 2.5;
-/** A sampler that fails part of its requests costs more, as its share of faults of late has it. */
-const faultCost = 8;
+/** A sampler whose announcements stopped counts as quiet unless it answered this recently. */
+const answeredMs = 1500;
 const faultSlowdown = 0.1;
 /** The share of faults halves in this time, so that a sampler that is well again is found out. */
 const faultHalfMs = 3000;
@@ -77,22 +75,16 @@
   const faultsOf = ({ faults, faultAt }: Seen): number => faults * 0.5 ** ((now() - faultAt) / faultHalfMs);
   const cost = (sampler: Sampler, once: boolean): number => {
     const known = seenOf(sampler.id);
-    const { out, ewmaMs, awayUntil, okAt } = known;
-    const full = out >= sampler.slots ? 3 : 1;
-    const foreign = sampler.zone === options.zone ? 1 : foreignCost;
-    const quiet = sampler.quiet && now() - okAt > 1500 ? quietCost : 1;
-    const connect = options.idle(sampler.address, once) ? 1 : connectCost;
-    const away = now() < awayUntil ? 50 : 1;
-    return (
-      (ewmaMs + 5) *
-      (1 + (2 * out) / Math.max(1, sampler.slots)) *
-      full *
-      foreign *
-      quiet *
-      away *
-      connect *
-      (1 + faultCost * faultsOf(known))
-    );
+    return samplerCost({
+      open: known.out,
+      slots: sampler.slots,
+      latencyMs: known.ewmaMs,
+      sameZone: sampler.zone === options.zone,
+      quiet: sampler.quiet && now() - known.okAt > answeredMs,
+      connected: options.idle(sampler.address, once),
+      ejected: now() < known.awayUntil,
+      faultShare: faultsOf(known),
+    });
   };
   return {
     of,
