--- a/src/fleet/front/attempts.ts
+++ b/src/fleet/front/attempts.ts
@@ -1,6 +1,7 @@
 import type { Dialect, SamplerCall, SamplerHead } from '../dialect.js';
 import type { Sampler } from '../fleetTypes.js';
 import type { CallEvents, SamplerClient } from '../samplerClient.js';
+import type { HedgeControl } from './hedgeControl.js';
 import type { SamplerDirectory } from './samplerDirectory.js';
 
 /** How a request with a short answer ended. */
@@ -35,7 +36,6 @@
 const againMs = 25;
 const awayMs = 400;
 const fullMs = 60;
-const hedgeShare = 0.7;
 
 /**
  * Sends a request to one sampler after another until one gives its whole answer. A repeatable request that takes long
@@ -46,13 +46,17 @@
     readonly client: SamplerClient;
     readonly directory: SamplerDirectory;
     readonly dialect: Dialect;
+    readonly hedges: HedgeControl;
     readonly now: () => number;
   },
   rules: AttemptRules,
   done: (outcome: Attempted) => void,
 ): { readonly cancel: () => void } => {
-  const { client, directory, dialect, now } = tools;
+  const { client, directory, dialect, hedges, now } = tools;
   const start = now();
+  /** Requests of one service with one aim take alike. */
+  const kind = `${rules.service} ${rules.aimMs}`;
+  const hedgeAfterMs = rules.repeatable ? hedges.began(kind, rules.aimMs) : Infinity;
   const deadline = start + rules.timeLeftMs;
   const tried = new Set<string>();
   const open = new Map<number, { readonly abort: () => void }>();
@@ -135,6 +139,7 @@
         // A success without its stamp is none, whoever may have run it.
         if (status < 300 && head!.stamp === '') return failed('a success without its stamp', true, 0);
         directory.ended(sampler.id, status < 500 ? now() - began : undefined, status < 500 ? 0 : 50);
+        if (rules.repeatable && place === 1 && status < 500) hedges.answered(kind, now() - began);
         const answer: Attempted = { kind: 'answered', status, raw, head: head!, body: Buffer.concat(chunks) };
         if (status < 500 || !rules.repeatable || !rules.retryFaults) return finish(answer);
         last = answer;
@@ -151,13 +156,10 @@
     };
     const call = client.call(sampler.address, rules.call(sampler, left()), left(), events, !rules.repeatable);
     open.set(place, call);
-    if (rules.repeatable && sends < rules.most && hedge === undefined) {
-      const after = Math.max(rules.aimMs * hedgeShare, 0);
-      if (after < left())
-        hedge = setTimeout(() => {
-          if (!over && open.size === 1 && sends < rules.most) send();
-        }, after);
-    }
+    if (rules.repeatable && sends < rules.most && hedge === undefined && hedgeAfterMs < left())
+      hedge = setTimeout(() => {
+        if (!over && open.size === 1 && sends < rules.most && hedges.spend(kind)) send();
+      }, hedgeAfterMs);
     return true;
   };
   next();
--- a/src/fleet/front/desks.ts
+++ b/src/fleet/front/desks.ts
@@ -6,11 +6,13 @@
 import type { ItemWord, WatchAnswer } from '../store/storeDesk.js';
 import { traffic } from '../traffic.js';
 import { runItem, type RunEnd } from './itemRun.js';
+import type { HedgeControl } from './hedgeControl.js';
 import type { SamplerDirectory } from './samplerDirectory.js';
 import type { StoreCalls } from './storeCalls.js';
 import type { OrderLease } from './orderLease.js';
 import { makeWeightLoads } from './weightLoads.js';
 import type { Desk, Known, PullAsk, Running } from './deskTypes.js';
+import { batchUrgency } from '../../policy/batchUrgency.js';
 import { budget, type Running as Reckoned } from '../../policy/budget.js';
 import { makeOwners } from '../../policy/owners.js';
 import { makeRatings } from './ratings.js';
@@ -42,6 +44,7 @@
   readonly directory: SamplerDirectory;
   readonly stores: StoreCalls;
   readonly dialect: Dialect;
+  readonly hedges: HedgeControl;
   readonly view: () => FleetView;
   readonly now: () => number;
   readonly chance: () => number;
@@ -217,10 +220,7 @@
     const at = now();
     const byStore = new Map<string, PullAsk[]>();
     const lots = [...known.values()].filter(leased);
-    const urgency = ({ advert, at: heard }: Known): number => {
-      const left = advert.leftMs - (at - heard);
-      return left > 0 ? left : 1e6 - left;
-    };
+    const urgency = ({ advert, at: heard }: Known): number => batchUrgency(advert.leftMs - (at - heard));
     lots.sort((one, other) => urgency(one) - urgency(other));
     for (const desk of desks.values()) {
       // One item tells whether a sampler with several faults is well again.
--- a/src/fleet/front/frontProgram.ts
+++ b/src/fleet/front/frontProgram.ts
@@ -7,6 +7,7 @@
 import { serveCalls } from '../serveCalls.js';
 import { traffic } from '../traffic.js';
 import { makeDesks } from './desks.js';
+import { makeHedgeControl } from './hedgeControl.js';
 import { makeLotAsks } from './lotAsks.js';
 import { ordinaryAsks } from './ordinaryAsks.js';
 import { makeOrderLease } from './orderLease.js';
@@ -55,7 +56,7 @@
   const client = makeSamplerClient(channelsMost, now, transport.connect, metrics);
   const directory = makeSamplerDirectory({ view, zone: settings.zone, now, chance: Math.random, idle: client.idle });
   const stores = makeStoreCalls({ channels, view, now });
-  const asks = { client, directory, dialect, now, chance: Math.random };
+  const asks = { client, directory, dialect, hedges: makeHedgeControl(), now, chance: Math.random };
   const lease = makeOrderLease({ holder: `${settings.name}#${incarnation}`, channels, view, now });
   const desks = makeDesks({ ...asks, name: settings.name, channels, stores, view, lease, event: log.event });
   const lots = makeLotAsks({ stores, dialect, wall, event: log.event });
--- a/src/fleet/front/ordinaryAsks.ts
+++ b/src/fleet/front/ordinaryAsks.ts
@@ -4,6 +4,7 @@
 import type { CallEvents, SamplerClient } from '../samplerClient.js';
 import { traffic } from '../traffic.js';
 import { attempts } from './attempts.js';
+import type { HedgeControl } from './hedgeControl.js';
 import type { SamplerDirectory } from './samplerDirectory.js';
 
 /** What the serving of requests needs of its front. */
@@ -11,6 +12,7 @@
   readonly client: SamplerClient;
   readonly directory: SamplerDirectory;
   readonly dialect: Dialect;
+  readonly hedges: HedgeControl;
   readonly now: () => number;
   readonly chance: () => number;
 };
--- a/src/fleet/front/ratings.ts
+++ b/src/fleet/front/ratings.ts
@@ -5,6 +5,7 @@
 import type { SamplerClient } from '../samplerClient.js';
 import { traffic } from '../traffic.js';
 import { attempts } from './attempts.js';
+import type { HedgeControl } from './hedgeControl.js';
 import type { SamplerDirectory } from './samplerDirectory.js';
 
 /** Rating calls: each whole text is rated before its result is said. */
@@ -26,6 +27,7 @@
   readonly client: SamplerClient;
   readonly directory: SamplerDirectory;
   readonly dialect: Dialect;
+  readonly hedges: HedgeControl;
   readonly view: () => FleetView;
   readonly now: () => number;
   readonly chance: () => number;
--- a/src/tests/deskRuns.ts
+++ b/src/tests/deskRuns.ts
@@ -2,6 +2,7 @@
 import type { HostBinding, Member, Sampler, Traffic } from '../fleet/fleetTypes.js';
 import type { FleetView } from '../fleet/watcher.js';
 import { makeDesks } from '../fleet/front/desks.js';
+import { makeHedgeControl } from '../fleet/front/hedgeControl.js';
 import { makeSamplerDirectory } from '../fleet/front/samplerDirectory.js';
 import { makeStoreCalls } from '../fleet/front/storeCalls.js';
 import { lotRuns, type LotRun } from './lotRuns.js';
@@ -97,6 +98,7 @@
     client,
     directory,
     stores: makeStoreCalls({ channels, view, now }),
+    hedges: makeHedgeControl(),
     dialect: { ...plainDialect, itemCall: expecting },
     view,
     now,
