--- a/src/tests/watchUrgency.test.ts
+++ b/src/tests/watchUrgency.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, expect, jest, test } from '@jest/globals';
 import { makeWatchServer, type WatchServer } from '../fleet/core/watchServer.js';
-import type { Sampler } from '../fleet/fleetTypes.js';
+import type { Followed, Sampler } from '../fleet/fleetTypes.js';
 import type { WatchRequest, WatchResponse } from '../fleet/watcher.js';
 import { memberOf } from './memberOf.js';
 import { turns } from './turns.js';
@@ -19,8 +19,10 @@
 });
 
 let server: WatchServer;
+let followed: Followed | undefined;
 beforeEach(() => {
   jest.useFakeTimers({ now: 10_000, doNotFake: ['nextTick', 'setImmediate', 'queueMicrotask', 'performance'] });
+  followed = undefined;
   const core = memberOf('core-1', 'core');
   server = makeWatchServer({
     self: () => core,
@@ -28,7 +30,7 @@
     beatMs: 1200,
     now: Date.now,
     wall: Date.now,
-    followed: () => undefined,
+    followed: () => followed,
     gatherMs: 0,
   });
 });
@@ -87,3 +89,41 @@
   expect(answer()).toBeDefined();
   expect(answer()?.samplers).toBeUndefined();
 });
+
+const stores = (epoch: number): Followed['stores'] => ({ epoch, current: [{ name: 's', disk: 'd' }], previous: [] });
+test('stores and voters come once, and again when they changed', async () => {
+  followed = { sequence: 1, models: { m0: 1 }, stores: stores(1), voters: [], electorate: 1, traffic: undefined };
+  const first = await server.follow(ask(0));
+  expect(first.followed).toEqual({ sequence: 1, models: { m0: 1 }, stores: stores(1), voters: [], electorate: 1 });
+  const next = (sequence: number): Promise<WatchResponse> => server.follow({ ...ask(first.revision), sequence });
+  followed = { ...followed, sequence: 2, models: { m0: 2 } };
+  expect((await next(1)).followed).toEqual({ sequence: 2, models: { m0: 2 } });
+  followed = { ...followed, sequence: 3, stores: stores(2) };
+  expect((await next(2)).followed).toMatchObject({ sequence: 3, stores: { epoch: 2 } });
+  // Whoever missed sequences gets what changed in them.
+  followed = { ...followed, sequence: 4 };
+  expect((await next(2)).followed).toMatchObject({ sequence: 4, stores: { epoch: 2 } });
+  expect((await next(3)).followed).toEqual({ sequence: 4, models: { m0: 2 } });
+});
+
+test('a node that a core does not know by its brief word is asked for the whole of it', async () => {
+  const brief = { name: front.name, incarnation: front.incarnation };
+  const { self: _self, ...withoutSelf } = ask(0);
+  expect((await server.follow({ ...withoutSelf, brief })).selfUnknown).toBe(true);
+  const { revision } = await server.follow(ask(0));
+  await turns.pass(3);
+  const names = (): ReadonlyArray<string> => server.members().map(({ name }) => name);
+  const briefly = (): Promise<WatchResponse> => server.follow({ ...withoutSelf, incarnation: 1, revision, brief });
+  // Brief words keep it present for as long as they come.
+  for (let at = 0; at < 5; at += 1) {
+    const polled = briefly();
+    jest.advanceTimersByTime(holdMs + 1);
+    expect((await polled).selfUnknown).toBeUndefined();
+    server.tick();
+    expect(names()).toContain(front.name);
+  }
+  jest.advanceTimersByTime(4000);
+  server.tick();
+  expect(names()).not.toContain(front.name);
+  expect((await briefly()).selfUnknown).toBe(true);
+});
