A batch has ended also where results follow its end; counters that can't be served end nobody

Found by rereading the diff: the retention of copies looked for the end in the last place, but results that were under way follow it, so such a batch would have been kept for ever and held up changes of the stores. A taken-over batch whose end was found goes to a majority only, like one that ended here. A port for the counters that is taken is an event, not the end of the process.

--- a/src/fleet/serveMetrics.ts
+++ b/src/fleet/serveMetrics.ts
@@ -13,7 +13,10 @@
       if (message.url !== path) return void response.writeHead(404).end();
       void metrics.text().then((text) => response.writeHead(200, { 'content-type': 'text/plain' }).end(text));
     });
-    await tools.transport.listenHttp(server, address);
+    // A process without its counters still does its work.
+    await tools.transport.listenHttp(server, address).catch((cause: unknown) => {
+      log.event('metrics_not_served', { address, reason: String(cause) });
+    });
   }
   if (settings.reportMs === undefined) return;
   setInterval(() => {
--- a/src/fleet/store/lotCopies.ts
+++ b/src/fleet/store/lotCopies.ts
@@ -18,6 +18,8 @@
   readonly match: Map<string, number>;
   /** How many entries were found when the leading began; until they all stand again, nothing may be handed out. */
   readonly found: number;
+  /** Whether its end was among them. */
+  readonly endFound: boolean;
   /** The epoch at which it was made, where this leader made it. */
   readonly born: number | undefined;
   /** How many entries a majority holds. */
--- a/src/fleet/store/lotLeader.ts
+++ b/src/fleet/store/lotLeader.ts
@@ -172,7 +172,7 @@
         parts.map(({ lot, ballot }) => {
           const promised = promisedOf(lot);
           const entries = replica.logs.get(lot)?.entries ?? [];
-          const ended = entries.at(-1)?.value.kind === 'end';
+          const ended = lotReplica.hasEnded(entries);
           return { ok: lotReplica.compare(promised, ballot) <= 0, promised, held: entries.length, ended };
         }),
       ),
--- a/src/fleet/store/lotReplica.ts
+++ b/src/fleet/store/lotReplica.ts
@@ -65,11 +65,15 @@
     for (let i = 0; i < record.n && i < log.entries.length; i += 1) log.entries[i]!.ballot = record.b;
 };
 
+/** Whether a lot's end is among its entries; results that were under way may follow it. */
+const hasEnded = (entries: ReplicaLog['entries']): boolean => entries.some(({ value }) => value.kind === 'end');
+
 /** Makes the acceptor over logs that a journal told; each answer waits until what it says lasts. */
 export const lotReplica = {
   compare,
   none,
   applied,
+  hasEnded,
   make: (options: {
     readonly logs: Map<string, ReplicaLog>;
     readonly journal: Journal;
--- a/src/fleet/store/lotSync.ts
+++ b/src/fleet/store/lotSync.ts
@@ -106,7 +106,7 @@
   /** The keys of the copies that a lot's entries go to now. */
   const targetsOf = (led: Led): ReadonlySet<string> => {
     const unsettled = led.settledAt < options.view().epoch || now() - led.begunAt > longOpenMs;
-    const targetsAreEnough = led.state.ended || !unsettled;
+    const targetsAreEnough = led.state.ended || led.endFound || !unsettled;
     if (targetsAreEnough && !waitedLonger(led, lateMostMs)) return chosenTargets(led);
     return new Set(copies.of(led.lot).map((voter) => placement.key(voter)));
   };
--- a/src/fleet/store/lotTakeover.ts
+++ b/src/fleet/store/lotTakeover.ts
@@ -108,6 +108,7 @@
     origin,
     match: new Map(),
     found: values.length,
+    endFound: values.some((value) => value.kind === 'end'),
     born: length === 0 ? options.view().epoch : undefined,
     chosen: 0,
     state: lotState.fresh(),
--- a/src/fleet/store/storeProgram.ts
+++ b/src/fleet/store/storeProgram.ts
@@ -101,8 +101,8 @@
     setInterval(() => {
       for (const [lot, kept] of logs) {
         if (kept.entries.length === 0 || now() - kept.touchedAt < settings.bounds.keepLotsMs * 1.5) continue;
-        if (kept.entries.at(-1)!.value.kind !== 'end') void dropPart(lot);
-        else dropWhole(lot);
+        if (lotReplica.hasEnded(kept.entries)) dropWhole(lot);
+        else void dropPart(lot);
       }
       void journal.retire((lot) => (logs.get(lot)?.entries.length ?? 0) > 0).catch(() => undefined);
     }, retireMs),
--- a/src/tests/replicationTargets.test.ts
+++ b/src/tests/replicationTargets.test.ts
@@ -132,8 +132,19 @@
   const [leader] = placement.sets('part', fleet.view(), 3)[0]!;
   const behind = three.find((store) => store !== leader!.name)!;
   fleet.kill(behind);
+  // A result that is under way when the lot is ended follows the end.
   void run.end(0, 'part');
+  await fleet.advance(1);
+  const result = { id: 'part.0', state: 'completed', text: 'x', versions: [1], rating: '' };
+  const words = { front: 'f1', words: [{ lot: 'part', id: result.id, result }] };
+  const told = run.fleet.channels('f1').call(leader!.name, 'board.words', words, 2500);
+  void told.catch(() => undefined);
   await fleet.advance(3000);
+  const kinds = fleet
+    .node(leader!.name)!
+    .logs.get('part')!
+    .entries.map(({ value }) => value.kind);
+  expect(kinds).toEqual(['lot', 'end', 'result']);
   expect(run.lots.get('part')!.endedAt).toBeLessThan(Infinity);
   fleet.boot(behind);
   await fleet.advance(3000);
