Reread: the tracker of targets stands apart, twins and repeated work are gone

No behaviour changes. Which copies a batch is written to now is a module of its own (replicationTracker), so lotSync sends and confirms only. Frame constants stand once (frames). The watch server compares stores and voters once a sequence, and the common case of a beat with two comparisons. Sizes of requests to samplers are reckoned where they are counted. Tests share one maker of announcements and the maker of members; the counters' test listens on port 0 and no longer on a port that was free a moment before. Left: watchers merge all views for each answer, as before.

--- a/src/edge/channels.ts
+++ b/src/edge/channels.ts
@@ -6,6 +6,7 @@
 import { slab, type Slab } from '../shared/slab.js';
 import type { Connection, Listener, Transport } from '../shared/transport.js';
 import type { CallSize } from './callMetrics.js';
+import { frames } from './frames.js';
 import { packedFrames } from './packedFrames.js';
 import { packing } from './packing.js';
 import { realTransport } from './realTransport.js';
@@ -29,8 +30,7 @@
   readonly close: () => void;
 };
 
-const wire = 1;
-const mostBytes = 64 * 1024 * 1024;
+const { wire, mostBytes } = frames;
 const connectMs = 1500;
 
 const splitter = (onFrame: (frame: Frame, bytes: number) => void): ((chunk: Buffer) => void) => {
--- a/src/edge/frames.ts
+++ b/src/edge/frames.ts
@@ -28,6 +28,7 @@
 /** Frames between the fleet's processes: size-delimited protobuf, of one wire version. */
 export const frames = {
   wire,
+  mostBytes,
   read,
   encode: (frame: Frame): Uint8Array => sizeDelimitedEncode(FrameSchema, frame),
 };
--- a/src/edge/packedFrames.ts
+++ b/src/edge/packedFrames.ts
@@ -1,10 +1,10 @@
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import { FrameSchema, type Frame } from '../gen/foxdeck_pb.js';
+import { frames } from './frames.js';
 
 /** Values of the configuration log are some 30 KB of text that deflates to a fifth; less than this is not worth it. */
 const leastBytes = 2048;
-const mostBytes = 64 * 1024 * 1024;
 const how = { level: 1, memLevel: 8, windowBits: 15 };
 
 /** Calls by name bring bodies that are packed already. */
@@ -28,6 +28,6 @@
   /** Throws where the bytes are not a packed frame. */
   unpack: (frame: Frame): Frame =>
     frame.body.case === 'packed'
-      ? fromBinary(FrameSchema, inflateRawSync(frame.body.value, { maxOutputLength: mostBytes }))
+      ? fromBinary(FrameSchema, inflateRawSync(frame.body.value, { maxOutputLength: frames.mostBytes }))
       : frame,
 };
--- a/src/fleet/core/watchServer.ts
+++ b/src/fleet/core/watchServer.ts
@@ -36,9 +36,10 @@
  */
 const urgencyOf = (before: Sampler | undefined, after: Sampler): Urgency => {
   if (!before) return 'atOnce';
-  const without = (sampler: Sampler): string => JSON.stringify({ ...sampler, beat: 0, models: {} });
-  if (without(before) !== without(after)) return 'atOnce';
-  return JSON.stringify(before.models) === JSON.stringify(after.models) ? 'never' : 'nextPoll';
+  const same = (but: Partial<Sampler>): boolean =>
+    JSON.stringify({ ...before, ...but }) === JSON.stringify({ ...after, ...but });
+  if (same({ beat: 0 })) return 'never';
+  return same({ beat: 0, models: {} }) ? 'nextPoll' : 'atOnce';
 };
 
 /** What makes a node's word news: not the sequence that it follows. */
@@ -115,18 +116,20 @@
     wake();
     return undefined;
   };
-  /** The sequence at which stores and voters were first seen as they are; they did not change after it. */
-  let layoutAt = 0;
-  let layout = '';
+  /** The stores and voters of the newest sequence, and the one at which they were first seen so. */
+  let layout = { text: '', sequence: 0, since: 0 };
+  const layoutSince = ({ sequence, stores, voters, electorate }: Followed): number => {
+    if (sequence === layout.sequence) return layout.since;
+    const text = JSON.stringify([stores, voters, electorate]);
+    layout = { text, sequence, since: text === layout.text ? layout.since : sequence };
+    return layout.since;
+  };
   const changeOf = (followed: Followed, ask: WatchRequest): FollowedChange => {
     const { sequence, models, stores, voters, electorate, traffic } = followed;
-    const current = JSON.stringify([stores, voters, electorate]);
-    if (current !== layout) layoutAt = sequence;
-    layout = current;
     return {
       sequence,
       models,
-      ...(layoutAt > ask.sequence && { stores, voters, electorate }),
+      ...(layoutSince(followed) > ask.sequence && { stores, voters, electorate }),
       ...(traffic && traffic.version !== ask.trafficVersion && { traffic: { ...traffic, document: '' } }),
     };
   };
--- a/src/fleet/samplerClient.ts
+++ b/src/fleet/samplerClient.ts
@@ -120,15 +120,13 @@
       let idleMs = 0;
       let connecting: NodeJS.Timeout | undefined;
       let receivedBytes = 0;
-      const headBytes = headSize(method, path, headers);
-      const note = (): void =>
-        metrics?.observe({ address, call: kind, sentBytes: headBytes + body.length, receivedBytes });
       const finish = (): boolean => {
         if (over) return false;
         over = true;
         clearTimeout(timer);
         clearTimeout(connecting);
-        note();
+        const sentBytes = headSize(method, path, headers) + body.length;
+        metrics?.observe({ address, call: kind, sentBytes, receivedBytes });
         return true;
       };
       const asked = {
--- a/src/fleet/store/lotSync.ts
+++ b/src/fleet/store/lotSync.ts
@@ -1,12 +1,11 @@
 import type { Voter } from '../../core/paxos.js';
-import { texts } from '../../shared/texts.js';
 import type { CopyAnswer, Led, LeaderOptions, LotCopies, Prepared } from './lotCopies.js';
 import { lotReplica, type AppendPart } from './lotReplica.js';
+import { entrySize } from './entrySize.js';
 import { lotState } from './lotState.js';
+import { makeReplicationTracker } from './replicationTracker.js';
 import { lotTakeover } from './lotTakeover.js';
 import { placement } from '../../policy/placement.js';
-import { responseTimes } from '../../policy/responseTimes.js';
-import { replicationTargets } from '../../policy/replicationTargets.js';
 
 /** How led lots reach their copies, and how their leaders know that they still lead. */
 export type LotSync = {
@@ -20,25 +19,6 @@
 
 const partBytes = 512 * 1024;
 const confirmMs = 700;
-/** Bounds of how long an entry may wait for a target; after the longest time it goes to every copy. */
-const lateLeastMs = 20;
-const lateMostMs = 150;
-/** A copy takes in and syncs this much at least; larger entries may take as much longer. */
-const leastBytesPerMs = 8 * 1024;
-/** Acknowledgements of less than this tell how soon a copy answers. */
-const timedMostBytes = 64 * 1024;
-/** How long a copy that was late or silent is no target where another can be. */
-const unresponsiveMs = 2000;
-/** A lot that is open for so long goes to every copy. */
-const longOpenMs = 10_000;
-
-const sizeOf = (value: AppendPart['entries'][number]['v']): number =>
-  value.kind === 'result'
-    ? texts.size(value.result.text) + 300
-    : value.kind === 'lot'
-      ? value.body.items.length * 1500
-      : 20;
-
 type SizedPart = AppendPart & { readonly bytes: number };
 
 /** The entries that a copy lacks, as one part. */
@@ -47,7 +27,7 @@
   let bytes = 0;
   for (let i = matched; i < led.values.length && bytes < partBytes; i += 1) {
     const v = led.values[i]!;
-    bytes += sizeOf(v);
+    bytes += entrySize(v);
     entries.push({ i, v });
   }
   return {
@@ -70,69 +50,18 @@
   const { replica, now } = options;
   const { own } = copies;
   const pumping = new Set<string>();
-  const unresponsiveUntil = new Map<string, number>();
-
-  let acknowledged = responseTimes.none;
+  const targets = makeReplicationTracker(options, copies);
   let checking: NodeJS.Timeout | undefined;
 
-  const lateAfterMs = (): number => responseTimes.lateAfterMs(acknowledged, lateLeastMs, lateMostMs);
-  const noteLate = (voter: Voter): void => void unresponsiveUntil.set(placement.key(voter), now() + unresponsiveMs);
-  const responsive = (voter: Voter): boolean =>
-    copies.address(voter) !== undefined && (unresponsiveUntil.get(placement.key(voter)) ?? 0) <= now();
-  const heldBy = (led: Led, voter: Voter): number => led.match.get(placement.key(voter)) ?? -1;
-  /** Targets stay until the sets change or one does not respond: each change costs what the new one lacks. */
-  const chosenTargets = (led: Led): ReadonlySet<string> => {
-    const sets = copies.sets(led.lot);
-    const usable = (voter: Voter): boolean => placement.key(voter) === own || responsive(voter);
-    const known = led.targets;
-    if (
-      known?.sets === sets &&
-      copies.of(led.lot).every((each) => !known.keys.has(placement.key(each)) || usable(each))
-    )
-      return known.keys;
-    const keys = replicationTargets({ sets, self: options.self, responsive, held: (each) => heldBy(led, each) });
-    led.targets = { sets, keys };
-    return keys;
-  };
-  const waitingBytes = (led: Led): number => {
-    let bytes = 0;
-    for (let i = led.chosen; i < led.values.length && bytes < partBytes; i += 1) bytes += sizeOf(led.values[i]!);
-    return bytes;
-  };
-  const waitedLonger = (led: Led, mostMs: number): boolean => {
-    const waitedMs = now() - led.waitingSince;
-    return waitedMs > mostMs && waitedMs > mostMs + waitingBytes(led) / leastBytesPerMs;
-  };
-  /** The keys of the copies that a lot's entries go to now. */
-  const targetsOf = (led: Led): ReadonlySet<string> => {
-    const unsettled = led.settledAt < options.view().epoch || now() - led.begunAt > longOpenMs;
-    const targetsAreEnough = led.state.ended || led.endFound || !unsettled;
-    if (targetsAreEnough && !waitedLonger(led, lateMostMs)) return chosenTargets(led);
-    return new Set(copies.of(led.lot).map((voter) => placement.key(voter)));
-  };
-  /**
-   * Another copy takes the place of a target that alone is late. Where several are, or the leader's own disk, it is
-   * rather the leader that is slow; they are given the longest time, and then entries go to every copy.
-   */
-  const replaceLateTarget = (led: Led): void => {
-    if (!waitedLonger(led, lateAfterMs())) return;
-    const late = copies.of(led.lot).filter((voter) => {
-      return led.targets?.keys.has(placement.key(voter)) && heldBy(led, voter) <= led.chosen;
-    });
-    const [only] = late;
-    if (late.length !== 1 || placement.key(only!) === own || !responsive(only!)) return;
-    noteLate(only!);
-    options.event('copy_late', { lot: led.lot, copy: only!.name, ms: Math.round(now() - led.waitingSince) });
-  };
   /** Looks again once what waits now would be late, and only after acknowledgements that lie here unread. */
   const checkLater = (): void => {
     checking ??= setTimeout(() => {
       setImmediate(() => {
         checking = undefined;
-        for (const led of leds()) replaceLateTarget(led);
+        for (const led of leds()) targets.replaceLate(led);
         pumpAll();
       });
-    }, lateAfterMs() + 1);
+    }, targets.lateAfterMs() + 1);
   };
 
   const advance = (led: Led): void => {
@@ -172,7 +101,7 @@
     for (const led of [...leds()]) {
       const matched = led.match.get(key);
       if (matched === undefined || matched >= led.values.length || bytes > partBytes) continue;
-      if (!targetsOf(led).has(key)) continue;
+      if (!targets.of(led).has(key)) continue;
       if (matched < 0) {
         const askedAt = now();
         const info = (await copies.call(voter, 'lot.prepare', { lot: led.lot, ballot: led.ballot })) as Prepared;
@@ -193,8 +122,10 @@
       const askedAt = now();
       const parts = batch.map(({ part }) => part);
       const heard = (await copies.call(voter, 'lot.append', { parts }, 2500)) as CopyAnswer[];
-      const bytes = batch.reduce((sum, { part }) => sum + part.bytes, 0);
-      if (bytes < timedMostBytes) acknowledged = responseTimes.after(acknowledged, now() - askedAt);
+      targets.acknowledged(
+        batch.reduce((sum, { part }) => sum + part.bytes, 0),
+        now() - askedAt,
+      );
       let gaps = 0;
       batch.forEach(({ led, part }, place) => {
         if (answered(led, voter, heard[place]!, askedAt)) {
@@ -226,11 +157,11 @@
     const behind = new Map<string, Voter>();
     for (const led of leds()) {
       if (led.waitingSince !== Infinity) checkLater();
-      const targets = targetsOf(led);
+      const keys = targets.of(led);
       for (const voter of copies.of(led.lot)) {
         const key = placement.key(voter);
         if (!led.match.has(key)) led.match.set(key, -1);
-        if (targets.has(key) && led.match.get(key)! < led.values.length) behind.set(key, voter);
+        if (keys.has(key) && led.match.get(key)! < led.values.length) behind.set(key, voter);
       }
     }
     for (const [key, voter] of behind) {
@@ -238,7 +169,7 @@
       pumping.add(key);
       // A copy that is gone or a disk that refuses is tried again at the next tick.
       void (key === own ? pumpOwn() : pump(voter))
-        .catch(() => key !== own && noteLate(voter))
+        .catch(() => key !== own && targets.noteLate(voter))
         .finally(() => pumping.delete(key));
     }
   };
--- a/src/policy/responseTimes.ts
+++ b/src/policy/responseTimes.ts
@@ -11,7 +11,6 @@
  * by an eighth of itself, so that a limit derived from them neither chases outliers nor oscillates.
  */
 export const responseTimes = {
-  none: undefined as ResponseTimes | undefined,
   after: (before: ResponseTimes | undefined, tookMs: number): ResponseTimes =>
     before === undefined
       ? { meanMs: tookMs, deviationMs: tookMs / 2 }
--- a/src/tests/callMetrics.test.ts
+++ b/src/tests/callMetrics.test.ts
@@ -1,7 +1,7 @@
 import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Server } from 'node:net';
 import { afterEach, describe, expect, test } from '@jest/globals';
-import { makeCallMetrics } from '../edge/callMetrics.js';
+import { makeCallMetrics, type CallMetrics } from '../edge/callMetrics.js';
 import { makeChannels, type Channels } from '../edge/channels.js';
 import { packing } from '../edge/packing.js';
 import { makeSamplerClient } from '../fleet/samplerClient.js';
@@ -12,31 +12,24 @@
 afterEach(() => {
   for (const close of closing.splice(0)) close();
 });
-const freePort = (): Promise<string> =>
-  new Promise((resolve) => {
-    const server = createServer().listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as AddressInfo;
-      server.close(() => resolve(`127.0.0.1:${port}`));
-    });
-  });
-const peers = async (metrics: ReturnType<typeof makeCallMetrics>): Promise<[Channels, Channels, string]> => {
-  const address = await freePort();
+const addressOf = (server: Server): string => `127.0.0.1:${(server.address() as AddressInfo).port}`;
+const calling = async (metrics: CallMetrics): Promise<{ readonly caller: Channels; readonly address: string }> => {
   const callee = makeChannels();
   const caller = makeChannels(undefined, metrics.observe);
   closing.push(
     () => callee.close(),
     () => caller.close(),
   );
-  await callee.serve(address, (_ask, reply) =>
+  const server = await callee.serve('127.0.0.1:0', (_ask, reply) =>
     reply(answers.answer({ case: 'call', value: packing.pack({ text: 'x'.repeat(700) }) })),
   );
-  return [caller, callee, address];
+  return { caller, address: addressOf(server as Server) };
 };
 
 describe('the counters of calls', () => {
   test('count each call once, with the bytes that the channel itself counted', async () => {
     const metrics = makeCallMetrics('a');
-    const [caller, , address] = await peers(metrics);
+    const { caller, address } = await calling(metrics);
     metrics.resolveZones((asked) => (asked === address ? 'b' : undefined));
     await caller.call(address, 'lot.read', { after: 1 }, 2000);
     await caller.call(address, 'lot.read', { after: 2 }, 2000);
@@ -66,7 +59,7 @@
       message.resume().on('end', () => response.end('whole'));
     });
     const address = await new Promise<string>((resolve) => {
-      server.listen(0, '127.0.0.1', () => resolve(`127.0.0.1:${(server.address() as AddressInfo).port}`));
+      server.listen(0, '127.0.0.1', () => resolve(addressOf(server)));
     });
     const client = makeSamplerClient(4, undefined, undefined, metrics);
     closing.push(
--- a/src/tests/flappingSamplers.test.ts
+++ b/src/tests/flappingSamplers.test.ts
@@ -1,7 +1,8 @@
 import { afterEach, beforeEach, describe, expect, jest, test } from '@jest/globals';
 import fc from 'fast-check';
 import { makeWatchServer } from '../fleet/core/watchServer.js';
-import type { Member, Sampler } from '../fleet/fleetTypes.js';
+import type { Sampler } from '../fleet/fleetTypes.js';
+import { memberOf } from './memberOf.js';
 import type { FleetView } from '../fleet/watcher.js';
 import { attempts, type Attempted } from '../fleet/front/attempts.js';
 import { makeHedgeControl } from '../fleet/front/hedgeControl.js';
@@ -13,17 +14,7 @@
 
 const beatMs = 1000;
 const places = ['p0', 'p1', 'p2'];
-const core: Member = {
-  name: 'core-1',
-  role: 'core',
-  zone: 'a',
-  peer: 'core-1:1',
-  disk: '',
-  state: 'ready',
-  incarnation: 1,
-  sequence: 0,
-  coreFresh: true,
-};
+const core = memberOf('core-1', 'core');
 
 /** A core's desk, a front and machines on which samplers begin and end, each life under an id of its own. */
 const flapping = (seed: number) => {
--- a/src/tests/replicationTargets.test.ts
+++ b/src/tests/replicationTargets.test.ts
@@ -60,7 +60,7 @@
 
 test('a response counts as late by mean and deviation, within its bounds', () => {
   const after = (values: ReadonlyArray<number>): ResponseTimes | undefined =>
-    values.reduce<ResponseTimes | undefined>(responseTimes.after, responseTimes.none);
+    values.reduce<ResponseTimes | undefined>(responseTimes.after, undefined);
   expect(responseTimes.lateAfterMs(undefined, 20, 150)).toBe(150);
   expect(responseTimes.lateAfterMs(after([10, 10, 10, 10, 10, 10, 10, 10, 10, 10, 10, 10]), 1, 150)).toBeCloseTo(11, 0);
   expect(responseTimes.lateAfterMs(after([2]), 20, 150)).toBe(20);
--- a/src/tests/samplerFile.test.ts
+++ b/src/tests/samplerFile.test.ts
@@ -5,7 +5,9 @@
 import { realDisk } from '../edge/realDisk.js';
 import { makeWatchServer } from '../fleet/core/watchServer.js';
 import { makeSamplerFile } from '../fleet/core/samplerFile.js';
-import type { Member, Sampler } from '../fleet/fleetTypes.js';
+import type { Sampler } from '../fleet/fleetTypes.js';
+import { announcedSampler } from './announcedSampler.js';
+import { memberOf } from './memberOf.js';
 
 let folder = '';
 beforeEach(() => {
@@ -14,30 +16,13 @@
 afterEach(() => rmSync(folder, { recursive: true, force: true }));
 
 const sampler = (id: string, more: Partial<Sampler> = {}): Sampler => ({
-  id,
-  service: 'texts',
-  address: `${id}:1`,
-  zone: 'a',
-  slots: 4,
-  state: 'ready',
-  beat: 5,
-  models: { m: 3 },
+  ...announcedSampler(id, 5, { models: { m: 3 } }),
   quiet: false,
   born: 1,
   ...more,
 });
 const file = () => makeSamplerFile(realDisk(folder));
-const self: Member = {
-  name: 'core-1',
-  role: 'core',
-  zone: 'a',
-  peer: 'core-1:1',
-  disk: 'd',
-  state: 'ready',
-  incarnation: 1,
-  sequence: 0,
-  coreFresh: false,
-};
+const self = { ...memberOf('core-1', 'core'), disk: 'd', coreFresh: false };
 const deskWith = (known: ReadonlyArray<Sampler>, clock: { at: number }) =>
   makeWatchServer({
     self: () => self,
--- a/src/tests/watchUrgency.test.ts
+++ b/src/tests/watchUrgency.test.ts
@@ -2,21 +2,14 @@
 import { makeWatchServer, type WatchServer } from '../fleet/core/watchServer.js';
 import type { Followed, Sampler } from '../fleet/fleetTypes.js';
 import type { WatchRequest, WatchResponse } from '../fleet/watcher.js';
+import { announcedSampler } from './announcedSampler.js';
 import { memberOf } from './memberOf.js';
 import { turns } from './turns.js';
 
 const holdMs = 900;
 const front = memberOf('front-1', 'front');
-const announced = (beat: number, version: number, state: Sampler['state'] = 'ready') => ({
-  id: 's1',
-  service: 'lm',
-  address: '10.0.0.1:80',
-  zone: 'a',
-  slots: 6,
-  state,
-  beat,
-  models: { m0: version },
-});
+const announced = (beat: number, version: number, state: Sampler['state'] = 'ready') =>
+  announcedSampler('s1', beat, { models: { m0: version }, state });
 
 let server: WatchServer;
 let followed: Followed | undefined;
--- a/src/tests/watcher.test.ts
+++ b/src/tests/watcher.test.ts
@@ -4,25 +4,15 @@
 import { makeWatchServer, type WatchServer } from '../fleet/core/watchServer.js';
 import { watchers, type Watcher, type WatchResponse, type WatchRequest } from '../fleet/watcher.js';
 import type { Followed, Member, Sampler } from '../fleet/fleetTypes.js';
+import { announcedSampler } from './announcedSampler.js';
 import { memberOf } from './memberOf.js';
 import { turns } from './turns.js';
 
 type Told = Omit<Sampler, 'quiet' | 'born'>;
 
 const beatMs = 1000;
-const told = (id: string, beat: number, more: Partial<Told> = {}): Told => ({
-  id,
-  service: 'texts',
-  address: `${id}:1`,
-  zone: 'a',
-  slots: 4,
-  state: 'ready',
-  beat,
-  models: { m: 1 },
-  ...more,
-});
 const word = (id: string, beat: number, more: Partial<Sampler> = {}): Sampler => ({
-  ...told(id, beat),
+  ...announcedSampler(id, beat),
   quiet: false,
   born: 1,
   ...more,
@@ -135,7 +125,7 @@
     state: fc.constantFrom<Sampler['state']>('ready', 'ready', 'ready', 'draining', 'gone'),
     version: fc.nat(2),
   })
-  .map(({ id, beat, state, version }) => told(id, beat, { state, models: { m: version } }));
+  .map(({ id, beat, state, version }) => announcedSampler(id, beat, { state, models: { m: version } }));
 
 describe('a desk', () => {
   test('holds what a plain reading of its words holds, whatever their order', () => {
@@ -154,14 +144,14 @@
   });
   test('doubts a sampler that falls silent, and no more once it speaks', () => {
     const { desk } = core('core-1');
-    desk.announce(told('s', 1));
+    desk.announce(announcedSampler('s', 1));
     jest.advanceTimersByTime(beatMs * 3);
     desk.tick();
     expect(desk.sampler('s')?.quiet).toBe(false);
     jest.advanceTimersByTime(beatMs);
     desk.tick();
     expect(desk.sampler('s')?.quiet).toBe(true);
-    desk.announce(told('s', 2));
+    desk.announce(announcedSampler('s', 2));
     expect(desk.sampler('s')?.quiet).toBe(false);
   });
   test('drops a node that is silent, and takes no older life of a node', () => {
@@ -196,9 +186,9 @@
     await turns.pass(3);
     jest.advanceTimersByTime(200);
     void again();
-    desk.announce(told('s0', 1));
+    desk.announce(announcedSampler('s0', 1));
     await turns.until(() => answers.length === 1);
-    for (let at = 1; at <= 9; at += 1) desk.announce(told(`s${at}`, 1));
+    for (let at = 1; at <= 9; at += 1) desk.announce(announcedSampler(`s${at}`, 1));
     await turns.pass(5);
     expect(answers.length).toBe(1);
     jest.advanceTimersByTime(100);
@@ -215,7 +205,7 @@
     void desk.follow({ ...ask, incarnation: 1, revision: first.revision }).then((answer) => (second = answer));
     await turns.pass(5);
     expect(second).toBeUndefined();
-    desk.announce(told('s', 1));
+    desk.announce(announcedSampler('s', 1));
     await turns.until(() => second !== undefined);
     expect(second!.samplers?.map((each) => each.id)).toEqual(['s']);
     expect(second!.members).toBeUndefined();
@@ -287,7 +277,7 @@
   test('loses a sampler that its core gave up', async () => {
     const at = core('core-1');
     const following = watcher(new Map([['core-1:1', at]]), ['core-1:1']);
-    at.desk.announce(told('s', 1));
+    at.desk.announce(announcedSampler('s', 1));
     await turns.until(() => following.view().samplers.has('s'));
     for (let second = 0; second < 100; second += 1) {
       jest.advanceTimersByTime(1000);
@@ -307,12 +297,12 @@
     const cores = new Map([one, other].sort().map((name) => [`${name}:1`, core(name)]));
     const following = watcher(cores, [...cores.keys()]);
     const at = (name: string) => cores.get(`${name}:1`)!.desk;
-    at(other).announce(told('s', 4));
-    at(one).announce(told('s', 5, { state }));
+    at(other).announce(announcedSampler('s', 4));
+    at(one).announce(announcedSampler('s', 5, { state }));
     await turns.until(() => following.view().samplers.get('s')?.state === state);
     // The older core says something new of it all the same.
-    at(other).announce(told('s', 4));
-    at(other).announce(told('s2', 1));
+    at(other).announce(announcedSampler('s', 4));
+    at(other).announce(announcedSampler('s2', 1));
     await turns.until(() => following.view().samplers.has('s2'));
     expect(following.view().samplers.get('s')?.state).toBe(state);
   });
@@ -328,8 +318,8 @@
     const cores = new Map(['core-1', 'core-2'].map((name) => [`${name}:1`, core(name)]));
     const following = watcher(cores, [...cores.keys()]);
     const [one, two] = [...cores.values()];
-    one!.desk.announce(told('s1', 1));
-    two!.desk.announce(told('s2', 1));
+    one!.desk.announce(announcedSampler('s1', 1));
+    two!.desk.announce(announcedSampler('s2', 1));
     await turns.until(() => following.view().samplers.size === 2);
     cores.delete('core-1:1');
     one!.cut();
@@ -366,11 +356,11 @@
   test('do not doubt a sampler that now speaks to the other', async () => {
     const { one, two } = linked();
     await turns.pass(10);
-    one.announce(told('s', 1));
+    one.announce(announcedSampler('s', 1));
     await turns.until(() => two.sampler('s') !== undefined);
     const doubts: string[] = [];
     for (let beat = 2; beat < 12; beat += 1) {
-      two.announce(told('s', beat));
+      two.announce(announcedSampler('s', beat));
       for (let quarter = 0; quarter < 4; quarter += 1) {
         jest.advanceTimersByTime(beatMs / 4);
         one.tick();
@@ -384,9 +374,9 @@
   test('come to rest when a sampler spoke to both', async () => {
     const { one, two, heard } = linked();
     await turns.pass(10);
-    one.announce(told('s', 1));
+    one.announce(announcedSampler('s', 1));
     jest.advanceTimersByTime(1);
-    two.announce(told('s', 2));
+    two.announce(announcedSampler('s', 2));
     await turns.pass(30);
     const before = heard();
     await turns.pass(60);
