Stores log what they drop, settle and don't find; fronts log why they don't serve

No log could tell the hypotheses apart: batches_settled names the copies that a leader took for whole, batch_dropped says why a copy went, batch_unknown what a majority held; requests_not_served and traffic_learnt do the same for a service that does not come back. part_of_lot_dropped became a reason of batch_dropped. Nothing decides differently.

--- a/src/fleet/front/frontProgram.ts
+++ b/src/fleet/front/frontProgram.ts
@@ -11,6 +11,7 @@
 import { makeLotAsks } from './lotAsks.js';
 import { ordinaryAsks } from './ordinaryAsks.js';
 import { makeOrderLease } from './orderLease.js';
+import { makeRefusalLog } from './refusalLog.js';
 import { makeSamplerDirectory } from './samplerDirectory.js';
 import { makeStoreCalls } from './storeCalls.js';
 
@@ -56,7 +57,9 @@
   const client = makeSamplerClient(channelsMost, now, transport.connect, metrics);
   const directory = makeSamplerDirectory({ view, zone: settings.zone, now, chance: Math.random, idle: client.idle });
   const stores = makeStoreCalls({ channels, view, now });
-  const asks = { client, directory, dialect, hedges: makeHedgeControl(), now, chance: Math.random };
+  const refusals = makeRefusalLog({ samplers: () => view().samplers.values(), event: log.event });
+  const hedges = makeHedgeControl();
+  const asks = { client, directory, dialect, hedges, now, chance: Math.random, notServed: refusals.note };
   const lease = makeOrderLease({ holder: `${settings.name}#${incarnation}`, channels, view, now });
   const desks = makeDesks({ ...asks, name: settings.name, channels, stores, view, lease, event: log.event });
   const lots = makeLotAsks({ stores, dialect, wall, event: log.event });
@@ -74,6 +77,7 @@
       // A front that has just begun learns the traffic in a moment; a refusal would cost the caller a whole try.
       if (now() - since < Math.min(newcomerMs, head.timeLeftMs * newcomerShare))
         return void setTimeout(() => route(message, response, body, since), newcomerPauseMs);
+      refusals.note(503, 'no traffic is declared yet');
       return ordinaryAsks.send(
         response,
         dialect.refusal(503, head.attempt, 500, 'no traffic is declared yet'),
@@ -122,7 +126,10 @@
     response.end();
   });
   watcher.onChange((before, after) => {
-    const limits = after.followed?.traffic?.limits;
+    const declared = after.followed?.traffic;
+    if (declared && before.followed?.traffic === undefined)
+      log.event('traffic_learnt', { version: declared.version, samplers: after.samplers.size });
+    const limits = declared?.limits;
     if (limits && before.followed?.traffic?.limits !== limits) {
       server.keepAliveTimeout = Math.max(1000, limits.idleMs);
       server.headersTimeout = Math.max(1000, limits.headerMs);
@@ -155,6 +162,7 @@
       watcher.stop();
       readiness.close();
       client.close();
+      refusals.close();
       log.event('stopped', { inFlight });
     },
   };
--- a/src/fleet/front/ordinaryAsks.ts
+++ b/src/fleet/front/ordinaryAsks.ts
@@ -15,6 +15,8 @@
   readonly hedges: HedgeControl;
   readonly now: () => number;
   readonly chance: () => number;
+  /** Notes a request that was not served, and why. */
+  readonly notServed: (status: number, reason: string) => void;
 };
 
 const networkMs = 4;
@@ -78,6 +80,7 @@
         );
       const status = outcome.kind === 'notRun' ? 503 : 504;
       const again = outcome.kind === 'notRun' ? retryAfterMs : undefined;
+      if (!response.destroyed) tools.notServed(status, outcome.reason);
       send(response, tools.dialect.refusal(status, head.attempt, again, outcome.reason), leaving());
     },
   );
@@ -106,6 +109,7 @@
   let open: { readonly abort: () => void } | undefined;
   const refuse = (reason: string): void => {
     const status = doubtful ? 504 : 503;
+    tools.notServed(status, reason);
     send(response, dialect.refusal(status, head.attempt, doubtful ? undefined : retryAfterMs, reason), leaving());
   };
   const next = (): void => {
--- a/src/fleet/store/lotLeader.ts
+++ b/src/fleet/store/lotLeader.ts
@@ -11,6 +11,7 @@
 } from './lotCopies.js';
 import { lotReplica, type AppendPart } from './lotReplica.js';
 import { makeLotSync, type LotSync } from './lotSync.js';
+import { makeSettlementLog } from './settlementLog.js';
 import { lotTakeover } from './lotTakeover.js';
 import { placement } from '../../policy/placement.js';
 
@@ -44,6 +45,7 @@
   const taking = new Map<string, Promise<Led | NotLed>>();
   const copies: LotCopies = makeLotCopies(options);
   const orphans = new Map<string, number>();
+  const settlements = makeSettlementLog(options.event);
 
   const stepDown = (led: Led, reason: string): void => {
     if (ledLots.get(led.lot) !== led) return;
@@ -102,6 +104,7 @@
     if (!led.state.ended && quorums[0]!.some((each) => copies.address(each) !== undefined && !whole(each))) return;
     if (!placement.quorum(quorums, whole)) return;
     led.settledAt = epoch;
+    settlements.note(led.lot, epoch, copies.of(led.lot).filter(whole));
     for (const voter of copies.of(led.lot))
       void (
         placement.key(voter) === copies.own
@@ -114,6 +117,7 @@
     if (epoch === 0) return;
     sync.schedule();
     for (const led of ledLots.values()) settle(led, epoch);
+    settlements.report();
     const moving = previous.length > 0;
     for (const [lot, log] of replica.logs) {
       if (log.entries.length === 0) continue;
@@ -122,6 +126,7 @@
       if (!here && !moving && current.length > 0 && log.settled <= epoch) {
         const led = ledLots.get(lot);
         if (led) stepDown(led, 'the lot moved to other stores');
+        options.event('batch_dropped', { lot, reason: 'moved', epoch, entries: log.entries.length });
         replica.drop(lot);
         continue;
       }
@@ -203,7 +208,7 @@
         if (log.entries.length === 0 || log.settled >= epoch) continue;
         if (!copies.of(lot).some((each) => placement.key(each) === copies.own)) continue;
         const led = ledLots.get(lot);
-        const matches = led ? [...led.match].map(([key, match]) => `${key.split(' ')[0]}:${match}`).join(',') : '';
+        const matches = led ? [...led.match].map(([key, match]) => `${placement.nameOf(key)}:${match}`).join(',') : '';
         lots.push(
           [lot, log.promised.by.split('#')[0], led ? `${led.values.length}/${led.chosen}/${matches}` : 'not led'].join(
             '/',
--- a/src/fleet/store/lotTakeover.ts
+++ b/src/fleet/store/lotTakeover.ts
@@ -53,6 +53,10 @@
   return { heard, granted: granted() };
 };
 
+/** How many entries each copy that answered holds, for the log. */
+const heldByText = (answers: ReadonlyArray<readonly [string, Prepared]>): string =>
+  answers.map(([key, info]) => `${placement.nameOf(key)}:${info.ballots.length}`).join(',');
+
 /** Begins to lead a lot: the promise of a majority, and of each entry the value under the highest ballot. */
 const take = async (
   options: LeaderOptions,
@@ -75,7 +79,10 @@
   }
   const answers = [...heard].filter(([, info]) => info.ok);
   const length = Math.max(0, ...answers.map(([, info]) => info.ballots.length));
-  if (length === 0 && !make) return { unknown: true };
+  if (length === 0 && !make) {
+    options.event('batch_unknown', { lot, epoch: options.view().epoch, copies: heldByText(answers) });
+    return { unknown: true };
+  }
   const ownEntries = replica.logs.get(lot)?.entries ?? [];
   const values: LotValue[] = [];
   const origin: LeaderBallot[] = [];
--- a/src/fleet/store/storeProgram.ts
+++ b/src/fleet/store/storeProgram.ts
@@ -81,12 +81,13 @@
   const dropWhole = (lot: string): void => {
     const led = leader.get(lot);
     if (led) leader.stepDown(led, 'kept long enough');
+    log.event('batch_dropped', { lot, reason: 'kept long enough', epoch: viewOf().epoch });
     replica.drop(lot);
   };
   /** A copy that lags behind has no end of its own; it goes once a majority has ended the lot or dropped it. */
   const dropPart = async (lot: string): Promise<void> => {
     if (leader.get(lot) || !(await leader.endedElsewhere(lot)) || leader.get(lot)) return;
-    log.event('part_of_lot_dropped', { lot });
+    log.event('batch_dropped', { lot, reason: 'a part of one that ended', epoch: viewOf().epoch });
     replica.drop(lot);
   };
   await serveCalls(channels, settings.peer, handle, log);
--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -42,4 +42,6 @@
   quorum: (sets: ReadonlyArray<ReadonlyArray<Voter>>, there: (member: Voter) => boolean): boolean =>
     sets.every((set) => set.length > 0 && set.filter(there).length > set.length / 2),
   key: (member: Voter): string => `${member.name} ${member.disk}`,
+  /** The store's name in a key. */
+  nameOf: (key: string): string => key.split(' ')[0]!,
 };
--- a/src/tests/loopbackFront.ts
+++ b/src/tests/loopbackFront.ts
@@ -53,7 +53,7 @@
   const chance = (): number => 0;
   const client = makeSamplerClient(20, now);
   const directory = makeSamplerDirectory({ view: () => view, zone: 'a', now, chance, idle: client.idle });
-  const tools = { client, directory, dialect, hedges: makeHedgeControl(), now, chance };
+  const tools = { client, directory, dialect, hedges: makeHedgeControl(), now, chance, notServed: () => undefined };
   const serve = binding.kind === 'streaming' ? ordinaryAsks.stream : ordinaryAsks.answer;
   const server = createServer((message, response) => {
     const chunks: Buffer[] = [];
