--- a/src/fleet/store/lotLeader.ts
+++ b/src/fleet/store/lotLeader.ts
@@ -45,7 +45,7 @@
   const taking = new Map<string, Promise<Led | NotLed>>();
   const copies: LotCopies = makeLotCopies(options);
   const orphans = new Map<string, number>();
-  const settlements = makeSettlementLog(options.event);
+  const settlements = makeSettlementLog(options);
 
   const stepDown = (led: Led, reason: string): void => {
     if (ledLots.get(led.lot) !== led) return;
--- a/src/fleet/store/settlementLog.ts
+++ b/src/fleet/store/settlementLog.ts
@@ -10,9 +10,9 @@
 const listedMost = 40;
 
 /** Makes the log of one store's leading. */
-export const makeSettlementLog = (
-  event: (name: string, fields: Record<string, string | number>) => void,
-): SettlementLog => {
+export const makeSettlementLog = (options: {
+  readonly event: (name: string, fields: Record<string, string | number>) => void;
+}): SettlementLog => {
   let noted = new Map<string, { readonly epoch: number; readonly whole: string; readonly lots: string[] }>();
   return {
     note: (lot, epoch, whole) => {
@@ -25,7 +25,7 @@
     report: () => {
       if (noted.size === 0) return;
       for (const { epoch, whole, lots } of noted.values())
-        event('batches_settled', { epoch, whole, count: lots.length, lots: lots.slice(0, listedMost).join(',') });
+        options.event('batches_settled', { epoch, whole, count: lots.length, lots: lots.slice(0, listedMost).join(',') });
       noted = new Map();
     },
   };
