--- a/src/fleet/store/settlementLog.ts
+++ b/src/fleet/store/settlementLog.ts
@@ -25,7 +25,12 @@
     report: () => {
       if (noted.size === 0) return;
       for (const { epoch, whole, lots } of noted.values())
-        options.event('batches_settled', { epoch, whole, count: lots.length, lots: lots.slice(0, listedMost).join(',') });
+        options.event('batches_settled', {
+          epoch,
+          whole,
+          count: lots.length,
+          lots: lots.slice(0, listedMost).join(','),
+        });
       noted = new Map();
     },
   };
