A leader counts a copy only for what it said under the present store view

Callers saw: a batch that had been accepted and ended was answered 404 at every front, over a minute later.

Cause: what a leader knew of a copy (how many entries it holds) outlived the store views. A copy drops a batch once a settled view places it elsewhere; when a later view named it again, the leader still counted the dropped copy, sent it nothing and called the batch settled, so that it stood on one disk. Open batches were healed by the half-second confirmation of leases, ended ones by nothing. Class: knowledge of a peer that outlives the membership under which it was gained.

Change: progress of a copy is kept with the epoch under which the copy said it. Towards a majority counts only what was said under the present epoch; where that is outdated the copy is asked again, all batches in one call. A copy drops nothing that its present view places on it, so what it said under the present epoch holds.

Ruled out: retention (the batch was 78 s old, kept 120 s), and a view called settled without a holder (the reconciler asks each present store under the view's epoch).

--- a/src/fleet/store/lotCopies.ts
+++ b/src/fleet/store/lotCopies.ts
@@ -4,6 +4,7 @@
 import { Fault } from '../../shared/fault.js';
 import type { LeaderBallot, LotResult, LotValue, Member, StoreView } from '../fleetTypes.js';
 import { placement } from '../../policy/placement.js';
+import type { CopyProgress } from './copyProgress.js';
 import type { LotReplica } from './lotReplica.js';
 import type { LotState } from './lotState.js';
 
@@ -14,8 +15,8 @@
   readonly values: LotValue[];
   /** The ballots that the first entries were found under. */
   readonly origin: ReadonlyArray<LeaderBallot>;
-  /** How many entries each copy holds under this ballot; -1 where that is not known. */
-  readonly match: Map<string, number>;
+  /** How many entries each copy holds under this ballot. */
+  readonly progress: CopyProgress;
   /** How many entries were found when the leading began; until they all stand again, nothing may be handed out. */
   readonly found: number;
   /** Whether its end was among them. */
--- a/src/fleet/store/lotLeader.ts
+++ b/src/fleet/store/lotLeader.ts
@@ -99,7 +99,7 @@
   const settle = (led: Led, epoch: number): void => {
     if (led.settledAt >= epoch || led.chosen < led.values.length || led.values.length === 0) return;
     const quorums = copies.sets(led.lot);
-    const whole = (each: Voter): boolean => (led.match.get(placement.key(each)) ?? -1) >= led.values.length;
+    const whole = (each: Voter): boolean => led.progress.held(placement.key(each)) >= led.values.length;
     // Of a lot that has ended a majority is enough; one that is open goes to every copy that can be reached.
     if (!led.state.ended && quorums[0]!.some((each) => copies.address(each) !== undefined && !whole(each))) return;
     if (!placement.quorum(quorums, whole)) return;
@@ -208,7 +208,9 @@
         if (log.entries.length === 0 || log.settled >= epoch) continue;
         if (!copies.of(lot).some((each) => placement.key(each) === copies.own)) continue;
         const led = ledLots.get(lot);
-        const matches = led ? [...led.match].map(([key, match]) => `${placement.nameOf(key)}:${match}`).join(',') : '';
+        const matches = led
+          ? [...led.progress.all()].map(([key, entries]) => `${placement.nameOf(key)}:${entries}`).join(',')
+          : '';
         lots.push(
           [lot, log.promised.by.split('#')[0], led ? `${led.values.length}/${led.chosen}/${matches}` : 'not led'].join(
             '/',
--- a/src/fleet/store/lotSync.ts
+++ b/src/fleet/store/lotSync.ts
@@ -21,11 +21,14 @@
 const confirmMs = 700;
 type SizedPart = AppendPart & { readonly bytes: number };
 
+/** Whether a copy is not known to hold every entry. */
+const lacks = (led: Led, key: string): boolean => led.progress.lastHeld(key) < led.values.length;
+
 /** The entries that a copy lacks, as one part. */
-const partFor = (led: Led, matched: number): SizedPart => {
+const partFor = (led: Led, from: number): SizedPart => {
   const entries: Array<AppendPart['entries'][number]> = [];
   let bytes = 0;
-  for (let i = matched; i < led.values.length && bytes < partBytes; i += 1) {
+  for (let i = from; i < led.values.length && bytes < partBytes; i += 1) {
     const v = led.values[i]!;
     bytes += entrySize(v);
     entries.push({ i, v });
@@ -33,7 +36,7 @@
   return {
     lot: led.lot,
     ballot: led.ballot,
-    stamp: matched,
+    stamp: from,
     ...(led.born !== undefined && { born: led.born }),
     entries,
     bytes,
@@ -66,7 +69,7 @@
 
   const advance = (led: Led): void => {
     const quorums = copies.sets(led.lot);
-    const holds = (each: Voter): boolean => (led.match.get(placement.key(each)) ?? -1) > led.chosen;
+    const holds = (each: Voter): boolean => led.progress.held(placement.key(each)) > led.chosen;
     while (led.chosen < led.values.length && placement.quorum(quorums, holds)) {
       const value = led.values[led.chosen]!;
       led.chosen += 1;
@@ -94,21 +97,50 @@
     return ok;
   };
 
+  /** Notes what a copy still holds; one that dropped the lot or never promised this ballot holds nothing under it. */
+  const noteHeld = (led: Led, key: string, { promised, held = 0 }: CopyAnswer, epoch: number): void => {
+    const last = led.progress.lastHeld(key);
+    if (last < 0) return;
+    if (lotReplica.compare(promised, led.ballot) !== 0 || held < last) return led.progress.forget(key);
+    led.progress.note(key, last, epoch);
+    advance(led);
+  };
+  const ask = async (voter: Voter, asked: ReadonlyArray<Led>): Promise<void> => {
+    const start = now();
+    const key = placement.key(voter);
+    const { epoch } = options.view();
+    const parts = asked.map(({ lot, ballot }) => ({ lot, ballot }));
+    const before = asked.map((led) => led.progress.lastHeld(key));
+    const heard = (await copies.call(voter, 'lot.confirm', { parts }, confirmMs)) as CopyAnswer[];
+    asked.forEach((led, place) => {
+      if (!answered(led, voter, heard[place]!, start)) return;
+      if (led.progress.lastHeld(key) === before[place]) noteHeld(led, key, heard[place]!, epoch);
+    });
+  };
+  /** Asks a copy again what it holds of batches for which it said so under an earlier epoch only. */
+  const askOutdated = async (voter: Voter): Promise<void> => {
+    const key = placement.key(voter);
+    // What has to be sent anyway is confirmed by its acknowledgement.
+    const outdated = [...leds()].filter(
+      (led) => led.progress.outdated(key) && !lacks(led, key) && targets.of(led).has(key),
+    );
+    if (outdated.length > 0) await ask(voter, outdated);
+  };
   const batchFor = async (voter: Voter): Promise<ReadonlyArray<{ led: Led; part: SizedPart }>> => {
     const key = placement.key(voter);
     const batch: Array<{ led: Led; part: SizedPart }> = [];
     let bytes = 0;
     for (const led of [...leds()]) {
-      const matched = led.match.get(key);
-      if (matched === undefined || matched >= led.values.length || bytes > partBytes) continue;
+      if (!lacks(led, key) || bytes > partBytes) continue;
       if (!targets.of(led).has(key)) continue;
-      if (matched < 0) {
+      if (led.progress.lastHeld(key) < 0) {
         const askedAt = now();
+        const { epoch } = options.view();
         const info = (await copies.call(voter, 'lot.prepare', { lot: led.lot, ballot: led.ballot })) as Prepared;
         if (!answered(led, voter, info, askedAt)) continue;
-        led.match.set(key, lotTakeover.sameLength(led, info.ballots));
+        led.progress.note(key, lotTakeover.sameLength(led, info.ballots), epoch);
       }
-      const part = partFor(led, led.match.get(key)!);
+      const part = partFor(led, led.progress.lastHeld(key));
       bytes += part.bytes;
       batch.push({ led, part });
     }
@@ -117,9 +149,11 @@
   const pump = async (voter: Voter): Promise<void> => {
     const key = placement.key(voter);
     for (;;) {
+      await askOutdated(voter);
       const batch = await batchFor(voter);
       if (batch.length === 0) return;
       const askedAt = now();
+      const { epoch } = options.view();
       const parts = batch.map(({ part }) => part);
       const heard = (await copies.call(voter, 'lot.append', { parts }, 2500)) as CopyAnswer[];
       targets.acknowledged(
@@ -129,10 +163,10 @@
       let gaps = 0;
       batch.forEach(({ led, part }, place) => {
         if (answered(led, voter, heard[place]!, askedAt)) {
-          led.match.set(key, part.stamp + part.entries.length);
+          led.progress.note(key, part.stamp + part.entries.length, epoch);
           advance(led);
         } else {
-          led.match.set(key, -1);
+          led.progress.forget(key);
           gaps += 1;
         }
       });
@@ -141,13 +175,14 @@
   };
   const pumpOwn = async (): Promise<void> => {
     for (;;) {
-      const behind = [...leds()].filter((led) => (led.match.get(own) ?? Infinity) < led.values.length);
+      const here = (led: Led): boolean => copies.of(led.lot).some((each) => placement.key(each) === own);
+      const behind = [...leds()].filter((led) => lacks(led, own) && here(led));
       if (behind.length === 0) return;
       await Promise.all(
         behind.map(async (led) => {
-          const part = partFor(led, Math.max(0, led.match.get(own)!));
+          const part = partFor(led, Math.max(0, led.progress.lastHeld(own)));
           if (!(await replica.append(part))) return stepDown(led, 'a later leader was promised here');
-          led.match.set(own, part.stamp + part.entries.length);
+          led.progress.note(own, part.stamp + part.entries.length, options.view().epoch);
           advance(led);
         }),
       );
@@ -160,8 +195,7 @@
       const keys = targets.of(led);
       for (const voter of copies.of(led.lot)) {
         const key = placement.key(voter);
-        if (!led.match.has(key)) led.match.set(key, -1);
-        if (keys.has(key) && led.match.get(key)! < led.values.length) behind.set(key, voter);
+        if (keys.has(key) && (lacks(led, key) || led.progress.outdated(key))) behind.set(key, voter);
       }
     }
     for (const [key, voter] of behind) {
@@ -183,18 +217,6 @@
     });
   };
 
-  const ask = async (voter: Voter, asked: ReadonlyArray<Led>): Promise<void> => {
-    const start = now();
-    const parts = asked.map(({ lot, ballot }) => ({ lot, ballot }));
-    const heard = (await copies.call(voter, 'lot.confirm', { parts }, confirmMs)) as CopyAnswer[];
-    asked.forEach((led, place) => {
-      const known = heard[place]!;
-      const key = placement.key(voter);
-      // A copy that dropped the lot, or never promised this ballot, holds nothing under it, whatever it held before.
-      const empty = known.held === 0 || lotReplica.compare(known.promised, led.ballot) !== 0;
-      if (answered(led, voter, known, start) && empty && (led.match.get(key) ?? -1) > 0) led.match.set(key, -1);
-    });
-  };
   return {
     schedule,
     confirm: (led) => {
--- a/src/fleet/store/lotTakeover.ts
+++ b/src/fleet/store/lotTakeover.ts
@@ -1,6 +1,7 @@
 import { Fault } from '../../shared/fault.js';
 import type { LeaderBallot, LotValue } from '../fleetTypes.js';
 import type { Led, LeaderOptions, LotCopies, Prepared } from './lotCopies.js';
+import { makeCopyProgress } from './copyProgress.js';
 import { lotReplica } from './lotReplica.js';
 import { lotState } from './lotState.js';
 import { placement } from '../../policy/placement.js';
@@ -66,6 +67,7 @@
 ): Promise<Led | { readonly unknown: true }> => {
   const { replica, now } = options;
   const askedAt = now();
+  const askedEpoch = options.view().epoch;
   const ballot: LeaderBallot = { round: (replica.logs.get(lot)?.promised.round ?? 0) + 1, by: options.owner };
   const { heard, granted } = await prepared(options, copies, lot, ballot);
   if (!granted) {
@@ -113,7 +115,7 @@
     ballot,
     values,
     origin,
-    match: new Map(),
+    progress: makeCopyProgress({ own: copies.own, epoch: () => options.view().epoch }),
     found: values.length,
     endFound: values.some((value) => value.kind === 'end'),
     born: length === 0 ? options.view().epoch : undefined,
@@ -131,7 +133,7 @@
   };
   for (const voter of copies.of(lot)) {
     const info = heard.get(placement.key(voter));
-    led.match.set(placement.key(voter), info?.ok ? sameLength(led, info.ballots) : -1);
+    if (info?.ok) led.progress.note(placement.key(voter), sameLength(led, info.ballots), askedEpoch);
   }
   return led;
 };
--- a/src/fleet/store/replicationTracker.ts
+++ b/src/fleet/store/replicationTracker.ts
@@ -42,7 +42,6 @@
   const noteLate = (voter: Voter): void => void unresponsiveUntil.set(placement.key(voter), now() + unresponsiveMs);
   const responsive = (voter: Voter): boolean =>
     copies.address(voter) !== undefined && (unresponsiveUntil.get(placement.key(voter)) ?? 0) <= now();
-  const heldBy = (led: Led, voter: Voter): number => led.match.get(placement.key(voter)) ?? -1;
   /** Targets stay until the sets change or one does not respond: each change costs what the new one lacks. */
   const chosen = (led: Led): ReadonlySet<string> => {
     const sets = copies.sets(led.lot);
@@ -50,7 +49,12 @@
     const lost = (voter: Voter): boolean =>
       known!.keys.has(placement.key(voter)) && placement.key(voter) !== copies.own && !responsive(voter);
     if (known?.sets === sets && !copies.of(led.lot).some(lost)) return known.keys;
-    const keys = replicationTargets({ sets, self: options.self, responsive, held: (each) => heldBy(led, each) });
+    const keys = replicationTargets({
+      sets,
+      self: options.self,
+      responsive,
+      held: (each) => led.progress.lastHeld(placement.key(each)),
+    });
     led.targets = { sets, keys };
     return keys;
   };
@@ -82,7 +86,10 @@
       if (!waitedLonger(led, lateAfterMs())) return;
       const late = copies
         .of(led.lot)
-        .filter((voter) => led.targets?.keys.has(placement.key(voter)) && heldBy(led, voter) <= led.chosen);
+        .filter(
+          (voter) =>
+            led.targets?.keys.has(placement.key(voter)) && led.progress.held(placement.key(voter)) <= led.chosen,
+        );
       const [only] = late;
       if (late.length !== 1 || placement.key(only!) === copies.own || !responsive(only!)) return;
       noteLate(only!);
