Tests: long lives of stores that come, are emptied and lose disks; batches that rest

Long lives have fourteen faults, stores that are emptied and taken away, and ended batches that nobody reads; after each change settled a majority of the present copies must hold the end of every ended batch. A rejected pull of the runs' fronts is no unhandled rejection any more.

--- a/src/tests/lotRuns.ts
+++ b/src/tests/lotRuns.ts
@@ -1,5 +1,6 @@
 import type { Advert, Grant, LotBody, LotResult } from '../fleet/fleetTypes.js';
 import { makeStoreCalls, type StoreCalls } from '../fleet/front/storeCalls.js';
+import { lotReplica } from '../fleet/store/lotReplica.js';
 import { placement } from '../policy/placement.js';
 import { texts } from '../shared/texts.js';
 import { makeLotFleet, type LotFleet, type Sabotage } from './lotFleet.js';
@@ -170,10 +171,11 @@
           const asks = heard.adverts
             .filter((advert) => advert.leaseMs > 0 && advert.needed > 0 && held.size < 4)
             .map(({ lot }) => ({ lot, sampler: 's', version: 1, most: 1, spare: false }));
-          const grants = asks.length > 0 && channels.call(member.peer, 'board.pull', { front, asks }, 500);
+          const grants =
+            asks.length > 0 && channels.call(member.peer, 'board.pull', { front, asks }, 500).catch(() => false);
           const said = (await Promise.resolve(told || []).catch(() => [])) as ReadonlyArray<string>;
           words.forEach(({ id }, place) => said[place] === 'ok' && held.delete(id));
-          const taken = (await Promise.resolve(grants || { grants: [] })) as { grants: ReadonlyArray<Grant> };
+          const taken = ((await grants) || { grants: [] }) as { grants: ReadonlyArray<Grant> };
           for (const { lot, item } of taken.grants) {
             // Half of the texts are long enough to travel as bytes.
             const plain = `${item.id} ${front} ${(made += 1)}`;
@@ -211,6 +213,15 @@
   await Promise.all([reader(0), reader(1), ...(fleet.chance() < 0.4 ? [ender()] : [])]);
 };
 
+/** A batch that is handed in and ended, and then rests unread. */
+const rest = async (run: LotRun, lot: string, open: () => boolean): Promise<void> => {
+  while (open() && !(await run.create(run.fleet.int(2), lot))) await run.fleet.sleep(200);
+  while (open() && run.lots.get(lot)!.endedAt === Infinity) {
+    await run.end(run.fleet.int(2), lot);
+    await run.fleet.sleep(200);
+  }
+};
+
 /** Fronts that ask any store, at times by force, and read at the end of what they know. */
 const probe = async (run: LotRun, stores: ReadonlyArray<string>, open: () => boolean): Promise<void> => {
   const { fleet, lots } = run;
@@ -239,8 +250,20 @@
   }
 };
 
+/** Of which batches that ended less than a majority of the present copies holds the end. */
+const thinEnded = ({ fleet, lots }: LotRun): string | undefined => {
+  for (const [lot, { endedAt, ackedAt }] of lots) {
+    if (endedAt === Infinity || ackedAt === Infinity) continue;
+    const [set] = placement.sets(lot, fleet.view(), 3);
+    const holders = set!.filter(({ name }) => lotReplica.hasEnded(fleet.node(name)?.logs.get(lot)?.entries ?? []));
+    if (holders.length <= set!.length / 2) return `${holders.length} of ${set!.length} copies of ${lot} hold its end`;
+  }
+  return undefined;
+};
+
 /** Every position there, copies alike, the view settled. */
-const whole = ({ fleet, lots }: LotRun): string | undefined => {
+const whole = (run: LotRun): string | undefined => {
+  const { fleet, lots } = run;
   const view = fleet.view();
   if (view.previous.length > 0) return `the view of epoch ${view.epoch} never settles`;
   for (const [lot, { body, positions, ackedAt, endedAt }] of lots) {
@@ -251,17 +274,20 @@
       .map(({ name }) => fleet.node(name)?.logs.get(lot)?.entries.length ?? 0);
     if (Math.min(...held) <= body.items.length) return `copies of ${lot} hold ${held.join()} entries`;
   }
-  return undefined;
+  return thinEnded(run);
 };
 
 /** What may befall a store or the network; with `early`, lots are read before they are taken. */
-export type Kind = 'kill' | 'wipe' | 'freeze' | 'cut' | 'loss' | 'disk' | 'add' | 'early' | 'outage';
+export type Kind = 'kill' | 'wipe' | 'freeze' | 'cut' | 'loss' | 'disk' | 'add' | 'retire' | 'early' | 'outage';
+
+/** Longer lives also have batches that rest unread. */
+const shortLifeFaults = 4;
 
 /** One random run: at most one store is down at a time, and the next fault waits until the one before is repaired. */
 const storm = async (
   seed: number,
   kinds: ReadonlyArray<Kind>,
-  sabotage: Sabotage = 'none',
+  { sabotage = 'none', faults = shortLifeFaults }: { readonly sabotage?: Sabotage; readonly faults?: number } = {},
 ): Promise<ReadonlyArray<string>> => {
   const names = ['a', 'b', 'c', 'd', 'e'].slice(0, 3 + (seed % 3));
   const run = await begin({ seed, stores: names, sabotage });
@@ -271,6 +297,8 @@
   const parties = ['f0', 'f1'].map((front) => work(run, front, () => open));
   for (let at = 0; at < 4; at += 1)
     parties.push(train(run, `lot${'x'.repeat(at)}${seed}`, kinds.includes('early'), () => open));
+  const resting = faults > shortLifeFaults ? 6 : 0;
+  for (let at = 0; at < resting; at += 1) parties.push(rest(run, `rest${at}.${seed}`, () => open));
   if (seed % 4 > 1) parties.push(probe(run, stores, () => open));
   if (kinds.includes('cut')) parties.push(mess(run, [...names, 'f0', 'f1'], () => open && !calm));
   const slow = (): void => {
@@ -279,8 +307,10 @@
   const repaired = async (): Promise<void> => {
     for (let at = 0; at < 200 && (fleet.view().previous.length > 0 || at < 8); at += 1) await fleet.advance(100);
     if (fleet.view().previous.length > 0) broken.push(`the view of epoch ${fleet.view().epoch} never settles`);
+    const thin = thinEnded(run);
+    if (thin !== undefined) broken.push(thin);
   };
-  for (let at = 0; at < 4 && broken.length === 0; at += 1) {
+  for (let at = 0; at < faults && broken.length === 0; at += 1) {
     const kind = kinds[fleet.int(kinds.length)]!;
     const store = stores[fleet.int(stores.length)]!;
     const other = [...stores, 'core', 'f0'].filter((each) => each !== store)[fleet.int(stores.length + 1)]!;
@@ -300,6 +330,14 @@
       stores.push(`n${at}`);
       fleet.boot(`n${at}`);
     }
+    if (kind === 'retire' && stores.length > 3) {
+      fleet.empty(store);
+      await repaired();
+      if (fleet.view().current.every((each) => each.name !== store)) {
+        fleet.kill(store);
+        stores.splice(stores.indexOf(store), 1);
+      }
+    }
     await fleet.advance(300 + fleet.int(kind === 'freeze' ? 4500 : 2500));
     fleet.heal();
     fleet.thaw(store);
@@ -322,10 +360,16 @@
   return broken;
 };
 
-const storms = async (from: number, count: number, kinds: ReadonlyArray<Kind>): Promise<ReadonlyArray<string>> => {
+const storms = async (
+  from: number,
+  count: number,
+  kinds: ReadonlyArray<Kind>,
+  faults?: number,
+): Promise<ReadonlyArray<string>> => {
   const found: string[] = [];
   for (let seed = from; seed < from + count; seed += 1)
-    for (const each of (await storm(seed, kinds)).slice(0, 1)) found.push(`${seed}: ${each}`);
+    for (const each of (await storm(seed, kinds, { ...(faults !== undefined && { faults }) })).slice(0, 1))
+      found.push(`${seed}: ${each}`);
   return found;
 };
 
--- a/src/tests/returningCopies.test.ts
+++ b/src/tests/returningCopies.test.ts
@@ -83,3 +83,7 @@
   for (const batch of batches) for (const store of ['b', 'c']) await finished(run, run.readAt(store, batch, 0, true));
   expect(run.broken).toEqual([]);
 });
+
+test('in long lives of stores that come, are emptied and lose disks, ended batches stand on majorities', async () => {
+  expect(await lotRuns.storms(1000, 20, ['add', 'retire', 'wipe'], 14)).toEqual([]);
+});
