A confirmed departure counts for the electorate that confirmed it

A core that had confirmed a sampler's departure once answered repeats of it from memory, also after voters had been replaced that may not know of it. It is confirmed anew under the next electorate, one call to each voter. The new test fails without the change (asked 2 instead of 4).

--- a/src/fleet/core/coreProgram.ts
+++ b/src/fleet/core/coreProgram.ts
@@ -173,7 +173,7 @@
     desk,
     file: samplerFile,
     channels,
-    voters: () => register.known()?.configuration.voters,
+    electorate: () => followedNow,
     members,
   });
   const permits = makeLoadPermits(now, (id) => {
--- a/src/fleet/core/samplerDepartures.ts
+++ b/src/fleet/core/samplerDepartures.ts
@@ -1,6 +1,6 @@
 import type { Voter } from '../../core/paxos.js';
 import type { Channels } from '../../edge/channels.js';
-import type { Member, Sampler } from '../fleetTypes.js';
+import type { Followed, Member, Sampler } from '../fleetTypes.js';
 import type { WatchServer } from './watchServer.js';
 import type { SamplerFile } from './samplerFile.js';
 
@@ -16,6 +16,8 @@
   readonly take: (sampler: Sampler) => Promise<Record<string, never>>;
 };
 
+type Confirmed = { readonly state: Sampler['state']; readonly electorate: number };
+
 /** The name of the call by which cores tell each other. */
 const callName = 'samplers.departure';
 const callMs = 600;
@@ -26,13 +28,13 @@
   readonly desk: Pick<WatchServer, 'hear' | 'samplers'>;
   readonly file: SamplerFile;
   readonly channels: Channels;
-  /** Undefined while no configuration is known; nothing is routed then. */
-  readonly voters: () => ReadonlyArray<Voter> | undefined;
+  /** The voters and the number of their electorate; undefined while nothing was founded, and nothing is routed. */
+  readonly electorate: () => Pick<Followed, 'voters' | 'electorate'> | undefined;
   readonly members: () => ReadonlyArray<Member>;
 }): SamplerDepartures => {
   const { desk, file, channels } = options;
-  /** Departures that a majority knows, by sampler: the state that was confirmed. */
-  const confirmed = new Map<string, Sampler['state']>();
+  /** Departures that a majority knows, by sampler: the state that was confirmed, and by which electorate. */
+  const confirmed = new Map<string, Confirmed>();
 
   const tellVoter = async (voter: Voter, sampler: Sampler): Promise<boolean> => {
     if (voter.name === options.self) {
@@ -58,10 +60,12 @@
     });
   return {
     confirm: async (sampler) => {
-      const voters = options.voters();
-      if (!voters || confirmed.get(sampler.id) === sampler.state) return true;
-      const known = await majority(voters, sampler);
-      if (known) confirmed.set(sampler.id, sampler.state);
+      const now = options.electorate();
+      if (!now) return true;
+      const before = confirmed.get(sampler.id);
+      if (before?.state === sampler.state && before.electorate === now.electorate) return true;
+      const known = await majority(now.voters, sampler);
+      if (known) confirmed.set(sampler.id, { state: sampler.state, electorate: now.electorate });
       return known;
     },
     take: async (sampler) => {
--- a/src/tests/samplerDepartures.test.ts
+++ b/src/tests/samplerDepartures.test.ts
@@ -22,6 +22,7 @@
 const makeCore = (answering: ReadonlyArray<string>, founded = true, writes = true) => {
   const asked: string[] = [];
   let written = 0;
+  let electorate = 1;
   const departures = samplerDepartures.make({
     self: 'core-1',
     desk: { hear: () => undefined, samplers: () => [sampler] },
@@ -39,10 +40,11 @@
         return answering.includes(address) ? Promise.resolve({}) : Promise.reject(new Error('no answer'));
       },
     } as unknown as Channels,
-    voters: () => (founded ? names.map((name) => ({ name, disk: `${name}-disk` })) : undefined),
+    electorate: () =>
+      founded ? { electorate, voters: names.map((name) => ({ name, disk: `${name}-disk` })) } : undefined,
     members: () => names.map((name): Member => ({ ...memberOf(name, 'core'), peer: name, disk: `${name}-disk` })),
   });
-  return { departures, asked, written: () => written };
+  return { departures, asked, written: () => written, changeVoters: () => void (electorate += 1) };
 };
 
 describe('a departure is confirmed', () => {
@@ -67,6 +69,14 @@
     await departures.confirm({ ...sampler, state: 'gone' });
     expect(asked.length).toBe(before + 2);
   });
+  test('again once the voters changed, since new ones may not know of it', async () => {
+    const { departures, asked, changeVoters } = makeCore(['core-2', 'core-3']);
+    await departures.confirm(sampler);
+    const before = asked.length;
+    changeVoters();
+    await departures.confirm({ ...sampler, beat: 4 });
+    expect(asked.length).toBe(before + 2);
+  });
   test('at once while nothing is founded, since nothing is routed', async () => {
     expect(await makeCore([], false).departures.confirm(sampler)).toBe(true);
   });
