A soak of real processes: long life under signals, restarts and changes

New: full, slow and stalling disks and resets by a switch at the edge of the process, signals in turn and again while a process comes back, readers of ended batches, growth of memory, descriptors and disks, recovery bounds, exits and grace.

--- a/src/fleet/startFleet.ts
+++ b/src/fleet/startFleet.ts
@@ -2,10 +2,6 @@
 import { makeCallMetrics } from '../edge/callMetrics.js';
 import { makeChannels } from '../edge/channels.js';
 import { realDisk } from '../edge/realDisk.js';
-import { realFiles } from '../edge/realFiles.js';
-import { realLog } from '../edge/realLog.js';
-import { realTime } from '../edge/realTime.js';
-import { realTransport } from '../edge/realTransport.js';
 import { openDisk } from '../node/openDisk.js';
 import { Disk } from '../shared/disk.js';
 import { Log } from '../shared/log.js';
@@ -13,18 +9,12 @@
 import type { Dialect } from './dialect.js';
 import type { FleetSettings } from './fleetTypes.js';
 import type { Edge, Program, ProgramTools } from './program.js';
+import { realEdge } from './realEdge.js';
 import { serveMetrics } from './serveMetrics.js';
 import { startCore } from './core/coreProgram.js';
 import { startFront } from './front/frontProgram.js';
 import { startStore } from './store/storeProgram.js';
 
-const realEdge = (node: string): Edge => ({
-  transport: realTransport,
-  files: realFiles,
-  time: realTime(),
-  log: realLog(node),
-});
-
 /** Starts the program of a process's role on an edge; fails with a Fault that tells the step. */
 export const startFleet = async (
   settings: FleetSettings,
--- a/src/sim/fleet/fleetCheckers.ts
+++ b/src/sim/fleet/fleetCheckers.ts
@@ -106,7 +106,7 @@
   const found: FleetViolation[] = [];
   const runs = new Map<string, number>();
   for (const { attempt } of of(seen, 'ran')) runs.set(attempt, (runs.get(attempt) ?? 0) + 1);
-  for (const asked of of(seen, 'asked')) {
+  for (const asked of [...of(seen, 'asked'), ...of(seen, 'quit')]) {
     const ran = runs.get(asked.attempt) ?? 0;
     if (asked.once && ran > 1)
       found.push({ rule: 'what runs once at most runs once', what: `${asked.attempt} ran ${ran} times` });
--- a/src/sim/fleet/fleetClients.ts
+++ b/src/sim/fleet/fleetClients.ts
@@ -1,9 +1,10 @@
 import type { Transport } from '../../shared/transport.js';
 import { fleetTraffic } from './fleetTraffic.js';
 import { httpCalls, type HttpAnswer, type HttpCalls } from './httpCalls.js';
+import { httpSilence } from './httpSilence.js';
 import type { Observation } from './observations.js';
 import type { VirtualFleet } from './virtualFleet.js';
-import type { VirtualWorld } from './virtualWorld.js';
+import type { OutsideWorld } from './virtualWorld.js';
 
 /** Those who call a simulated fleet from outside. Each of them is a process of its own. */
 export type FleetClients = {
@@ -37,7 +38,7 @@
 
 /** Makes the clients of a day; `over` tells when no new work begins, `acknowledged` hears of every acknowledgement. */
 export const makeFleetClients = (options: {
-  readonly world: VirtualWorld;
+  readonly world: OutsideWorld;
   readonly fleet: VirtualFleet;
   readonly saw: (observation: Observation) => void;
   readonly over: () => boolean;
@@ -147,7 +148,8 @@
         );
         let echoed = '';
         if (heard.status === 200) echoed = (JSON.parse(heard.body) as { attempt: string }).attempt;
-        saw({ kind: 'asked', sentAt, at: world.now(), attempt, once, status: heard.status, echoed });
+        const silent = heard.status === 0 && heard.body === httpSilence;
+        saw({ kind: 'asked', sentAt, at: world.now(), attempt, once, status: heard.status, echoed, silent });
         await world.sleep(world.between(20, 120));
       }
     });
--- a/src/sim/fleet/fleetFaults.ts
+++ b/src/sim/fleet/fleetFaults.ts
@@ -1,6 +1,6 @@
 import { retireStore } from './storeRetirement.js';
 import type { VirtualFleet, VirtualMachine } from './virtualFleet.js';
-import type { VirtualWorld } from './virtualWorld.js';
+import type { OutsideWorld } from './virtualWorld.js';
 
 /** What may go wrong in a simulated day. */
 export type FleetFaultKind =
@@ -44,6 +44,22 @@
 
 type Act = () => string | undefined;
 
+/** What the acts of a fault are made of. */
+export type FaultTools = {
+  readonly some: () => VirtualMachine;
+  readonly withDisk: () => ReadonlyArray<VirtualMachine>;
+  readonly span: (low: number, high: number) => number;
+  /** Marks machines as troubled for a time, and undoes the trouble after it or when all is healed. */
+  readonly lasting: (ms: number, names: ReadonlyArray<string>, end: () => void) => void;
+  /** Starts a machine again after a time. */
+  readonly down: (machine: VirtualMachine, ms: number) => void;
+  /** Lets no fault happen for a time, then has a disk lost. */
+  readonly calmThenWipe: (calmMs: number) => void;
+};
+
+/** A fault that only some fleets can suffer, and how often it is drawn beside the others. */
+export type ExtraFault = { readonly weight: number; readonly act: Act };
+
 const weights: Readonly<Record<FleetFaultKind, number>> = {
   kill: 4,
   powerLoss: 3,
@@ -69,7 +85,7 @@
   samplerCrash: 1,
   samplerDeparture: 3,
 };
-const disksLost = new Set<FleetFaultKind>(['wipe', 'wipeWhileOthersLosePower', 'replaceCore']);
+const disksLost = new Set<string>(['wipe', 'wipeWhileOthersLosePower', 'replaceCore']);
 /** A disk may be lost again only so long after the last one, with every machine up for as long as `catchUpMs`. */
 const betweenDisksMs = 9000;
 const catchUpMs = 6000;
@@ -79,7 +95,7 @@
 
 /** Lets faults happen in a fleet, drawn by the world's seed. */
 export const makeFleetFaults = (
-  world: VirtualWorld,
+  world: OutsideWorld,
   fleet: VirtualFleet,
   clientHosts: () => ReadonlyArray<string>,
   plan: {
@@ -87,6 +103,7 @@
     readonly until: number;
     readonly meanMs: number;
     readonly only?: ReadonlyArray<FleetFaultKind>;
+    readonly extra?: (tools: FaultTools) => Readonly<Record<string, ExtraFault>>;
     /** How many may happen at the most: the first so many of the seed's. */
     readonly most?: number;
   },
@@ -310,14 +327,25 @@
     undo.size === 0 &&
     world.now() - unwholeAt > (diskLostAt === -Infinity ? 0 : catchUpMs);
 
-  const kinds = (Object.keys(weights) as FleetFaultKind[]).filter((kind) => !plan.only || plan.only.includes(kind));
-  const total = kinds.reduce((sum, kind) => sum + weights[kind], 0);
+  let pausedUntil = -Infinity;
+  const calmThenWipe = (calmMs: number): void => {
+    pausedUntil = world.now() + calmMs;
+    world.schedule(world.outside, calmMs, () => {
+      if (world.now() < plan.until && mayLoseDisk()) note('wipe', acts.wipe() ?? '');
+    });
+  };
+  const extra = plan.extra?.({ some, withDisk, span, lasting, down, calmThenWipe }) ?? {};
+  const drawn = (Object.keys(weights) as FleetFaultKind[])
+    .filter((kind) => !plan.only || plan.only.includes(kind))
+    .map((kind) => ({ kind: kind as string, weight: weights[kind], act: acts[kind] }));
+  const kinds = [...drawn, ...Object.entries(extra).map(([kind, each]) => ({ kind, ...each }))];
+  const total = kinds.reduce((sum, { weight }) => sum + weight, 0);
   const next = (): void => {
     if (world.now() >= plan.until || history.length >= (plan.most ?? Infinity)) return;
     let place = world.chance() * total;
-    const kind = kinds.find((each) => (place -= weights[each]) < 0) ?? kinds[0]!;
-    if (!disksLost.has(kind) || mayLoseDisk()) {
-      const what = acts[kind]();
+    const { kind, act } = kinds.find((each) => (place -= each.weight) < 0) ?? kinds[0]!;
+    if (world.now() >= pausedUntil && (!disksLost.has(kind) || mayLoseDisk())) {
+      const what = act();
       if (what !== undefined) note(kind, what);
     }
     world.schedule(world.outside, -Math.log(1 - world.chance()) * plan.meanMs, next);
--- a/src/sim/fleet/httpCalls.ts
+++ b/src/sim/fleet/httpCalls.ts
@@ -1,6 +1,7 @@
 import { Agent, request } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Transport } from '../../shared/transport.js';
+import { httpSilence } from './httpSilence.js';
 
 /** An answer; status 0 stands for silence, a refused or a broken connection. */
 export type HttpAnswer = { readonly status: number; readonly body: string };
@@ -50,7 +51,7 @@
           message.on('close', () => finish({ status: 0, body: 'broken off' }));
         });
         const timer = setTimeout(() => {
-          finish({ status: 0, body: 'silence' });
+          finish({ status: 0, body: httpSilence });
           sent.destroy();
         }, timeLeftMs);
         sent.on('error', (cause) => finish({ status: 0, body: cause.message }));
--- a/src/sim/fleet/observations.ts
+++ b/src/sim/fleet/observations.ts
@@ -47,6 +47,18 @@
       readonly at: number;
       readonly attempt: string;
       readonly once: boolean;
+      /** No answer came, and the connection stayed open. */
+      readonly silent: boolean;
+      readonly status: number;
+      readonly echoed: string;
+    }
+  /** A request whose caller left after a moment. */
+  | {
+      readonly kind: 'quit';
+      readonly sentAt: number;
+      readonly at: number;
+      readonly attempt: string;
+      readonly once: boolean;
       readonly status: number;
       readonly echoed: string;
     }
--- a/src/sim/fleet/storeRetirement.ts
+++ b/src/sim/fleet/storeRetirement.ts
@@ -1,13 +1,13 @@
 import { httpCalls } from './httpCalls.js';
 import type { VirtualFleet, VirtualMachine } from './virtualFleet.js';
-import type { VirtualWorld } from './virtualWorld.js';
+import type { OutsideWorld } from './virtualWorld.js';
 
 const controlMs = 1200;
 const againMs = 300;
 
 /** Has a store emptied by the control calls; `emptied` hears once the fleet says that nothing rests on it any more. */
 export const retireStore = (
-  world: VirtualWorld,
+  world: OutsideWorld,
   fleet: VirtualFleet,
   store: VirtualMachine,
   emptied: () => void,
--- a/src/sim/fleet/virtualSampler.ts
+++ b/src/sim/fleet/virtualSampler.ts
@@ -6,7 +6,7 @@
 
 /** A sampler of the simulated days, in the plain adapter's own names. */
 export type SamplerOptions = {
-  readonly world: VirtualWorld;
+  readonly world: Pick<VirtualWorld, 'now' | 'chance' | 'between' | 'sleep'>;
   readonly transport: Transport;
   readonly id: string;
   readonly address: string;
@@ -25,6 +25,12 @@
 export type VirtualSampler = {
   /** Leaves in order: says so until a core acknowledges it, serves on for a while, and calls `gone`. */
   readonly depart: (how: 'draining' | 'leaving', gone: () => void) => void;
+  /** Announces nothing for a while, and serves on. */
+  readonly silence: (ms: number) => void;
+  /** Takes so many times as long for plain requests, for a while. */
+  readonly slow: (times: number, ms: number) => void;
+  /** Announces nothing any more. */
+  readonly stop: () => void;
 };
 
 const slots = 4;
@@ -43,6 +49,7 @@
 const startSampler = (options: SamplerOptions): VirtualSampler => {
   const { world, id, saw } = options;
   let running = 0;
+  let [slowBy, slowUntil] = [1, 0];
   let version = 1;
   let loading: { readonly version: number; readonly until: number } | undefined;
   let fence = 0;
@@ -89,16 +96,19 @@
   };
   const plain = (message: IncomingMessage, response: ServerResponse, attempt: string): void => {
     ran(attempt, message);
-    setTimeout(() => {
-      const body = JSON.stringify({ rating: 7, attempt });
-      response.writeHead(200, {
-        'content-type': 'application/json',
-        'content-length': String(body.length),
-        'foxdeck-attempt': attempt,
-        'foxdeck-stamp': id,
-      });
-      response.end(body);
-    }, plainMs);
+    setTimeout(
+      () => {
+        const body = JSON.stringify({ rating: 7, attempt });
+        response.writeHead(200, {
+          'content-type': 'application/json',
+          'content-length': String(body.length),
+          'foxdeck-attempt': attempt,
+          'foxdeck-stamp': id,
+        });
+        response.end(body);
+      },
+      plainMs * (world.now() < slowUntil ? slowBy : 1),
+    );
   };
   const order = (body: string, response: ServerResponse): void => {
     const told = JSON.parse(body) as { sampler: string; version: number; holder: string; fence: number };
@@ -146,10 +156,19 @@
     core = (core + 1) % options.cores.length;
     return false;
   };
-  const beats = setInterval(() => void announce(), options.beatMs);
+  let silentUntil = 0;
+  const beats = setInterval(() => {
+    if (world.now() >= silentUntil) void announce();
+  }, options.beatMs);
   void announce();
   void options.transport.listenHttp(server, options.address);
   return {
+    silence: (ms) => void (silentUntil = world.now() + ms),
+    slow: (times, ms) => {
+      slowBy = times;
+      slowUntil = world.now() + ms;
+    },
+    stop: () => clearInterval(beats),
     depart: (how, gone) => {
       const run = async (): Promise<void> => {
         state = 'draining';
--- a/src/sim/fleet/virtualWorld.ts
+++ b/src/sim/fleet/virtualWorld.ts
@@ -40,6 +40,12 @@
   readonly close: () => void;
 };
 
+/** The part of a world that those outside of the fleet use: clients, samplers and faults. */
+export type OutsideWorld = Pick<
+  VirtualWorld,
+  'now' | 'chance' | 'between' | 'pick' | 'spawn' | 'schedule' | 'outside' | 'sleep'
+>;
+
 type Entry = QueuedEvent & { readonly process: VirtualProcess; readonly timer: VirtualTimer };
 type State = { held: Entry[]; ended: Array<() => void>; alive: boolean; frozen: boolean };
 
--- /dev/null
+++ b/src/soak/soakClients.ts
@@ -0,0 +1,111 @@
+import type { Observation } from '../sim/fleet/observations.js';
+import { httpCalls } from '../sim/fleet/httpCalls.js';
+import { realEdge } from '../fleet/realEdge.js';
+import type { RealWorld } from './realWorld.js';
+import type { SoakFleet } from './soakFleet.js';
+
+/** Clients of a soak beside those of the simulator: they look at batches again and again, and leave halfway. */
+export type SoakClients = {
+  /** Reads taken batches from early and late positions at every front, and asks the ends of ended ones again. */
+  readonly reader: () => void;
+  /** Sends requests and leaves after a moment. */
+  readonly quitter: (name: string) => void;
+};
+
+type Taken = { readonly at: number; readonly items: ReadonlyArray<string>; read: number; ended: boolean };
+
+const readMs = 3000;
+const waitMs = 400;
+const endAgainShare = 0.1;
+const bodyShare = 0.2;
+
+/** Makes the clients; batches are followed for as long as they are kept. */
+export const makeSoakClients = (options: {
+  readonly world: RealWorld;
+  readonly fleet: () => SoakFleet;
+  readonly seen: ReadonlyArray<Observation>;
+  readonly saw: (observation: Observation) => void;
+  readonly over: () => boolean;
+  readonly keptMs: number;
+}): SoakClients => {
+  const { world, seen, saw } = options;
+  const taken = new Map<string, Taken>();
+  let place = 0;
+  /** Takes up what others saw of batches since the last look. */
+  const lookAgain = (): void => {
+    for (; place < seen.length; place += 1) {
+      const each = seen[place]!;
+      if (each.kind === 'batchTaken') taken.set(each.batch, { at: each.at, items: each.items, read: 0, ended: false });
+      if (each.kind === 'batchEnded' && taken.has(each.batch)) taken.get(each.batch)!.ended = true;
+      if (each.kind === 'results' && taken.has(each.batch)) {
+        const known = taken.get(each.batch)!;
+        known.read = Math.max(known.read, each.after + each.results.length);
+      }
+    }
+    for (const [batch, { at }] of taken) if (world.now() - at > options.keptMs) taken.delete(batch);
+  };
+  const fronts = (): ReadonlyArray<string> => {
+    const running = options
+      .fleet()
+      .of('front')
+      .filter((front) => front.running());
+    return running.map((front) => options.fleet().frontOf(front));
+  };
+  return {
+    reader: () => {
+      const calls = httpCalls(realEdge('reader').transport);
+      const read = async (front: string, batch: string, after: number): Promise<void> => {
+        const sentAt = world.now();
+        const path = `/foxdeck/lots/${batch}?after=${after}`;
+        const headers = { 'foxdeck-wait': String(waitMs) };
+        const { status, body } = await calls.call(front, 'GET', path, headers, '', readMs);
+        if (status === 404) saw({ kind: 'batchMissing', at: world.now(), batch });
+        if (status !== 200) return;
+        const { results } = JSON.parse(body) as Extract<Observation, { kind: 'results' }>;
+        saw({ kind: 'results', sentAt, at: world.now(), batch, after, results });
+      };
+      const body = async (front: string, batch: string, { items, ended }: Taken): Promise<void> => {
+        const path = `/foxdeck/items/${batch}?id=${world.pick(items)}`;
+        const { status } = await calls.call(front, 'GET', path, {}, '', readMs);
+        if (status === 404 && !ended) saw({ kind: 'batchMissing', at: world.now(), batch });
+      };
+      const endAgain = async (front: string, batch: string): Promise<void> => {
+        const { status } = await calls.call(front, 'DELETE', `/foxdeck/lots/${batch}`, {}, '', readMs);
+        if (status === 404) saw({ kind: 'batchMissing', at: world.now(), batch });
+      };
+      const run = async (): Promise<void> => {
+        while (!options.over()) {
+          await world.sleep(world.between(10, 60));
+          lookAgain();
+          if (taken.size === 0) continue;
+          const [batch, known] = world.pick([...taken]);
+          const front = world.pick(fronts());
+          const after = world.chance() < 0.5 ? 0 : Math.floor(world.chance() * (known.read + 1));
+          await read(front, batch, after);
+          if (world.chance() < bodyShare) await body(front, batch, known);
+          if (known.ended && world.chance() < endAgainShare) await endAgain(front, batch);
+        }
+      };
+      void run();
+    },
+    quitter: (name) => {
+      const calls = httpCalls(realEdge(name).transport);
+      const run = async (): Promise<void> => {
+        for (let number = 0; !options.over(); number += 1) {
+          await world.sleep(world.between(20, 150));
+          const attempt = `${name}-${number}`;
+          const once = world.chance() < 0.5;
+          const headers = { host: once ? 'write.fleet' : 'read.fleet', 'foxdeck-attempt': attempt };
+          const sentAt = world.now();
+          const [method, sent] = once ? ['POST', attempt] : ['GET', ''];
+          const leftMs = world.between(1, 40);
+          const { status, body } = await calls.call(world.pick(fronts()), method!, '/thing', headers, sent!, leftMs);
+          const echoed = status === 200 ? (JSON.parse(body) as { attempt: string }).attempt : '';
+          // What it leaves behind is no silence of the fleet's, and no request that was to be served.
+          saw({ kind: 'quit', sentAt, at: world.now(), attempt, once, status, echoed });
+        }
+      };
+      void run();
+    },
+  };
+};
--- /dev/null
+++ b/src/tests/soak.test.ts
@@ -0,0 +1,64 @@
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { afterEach, describe, expect, test } from '@jest/globals';
+import { soakArguments } from '../soak/soakArguments.js';
+import type { SoakSabotage } from '../soak/soakFleet.js';
+import { runSoak, type SoakResult } from '../soak/soakRun.js';
+
+const folders: string[] = [];
+afterEach(() => {
+  for (const folder of folders.splice(0)) rmSync(folder, { recursive: true, force: true });
+});
+
+const soak = (seed: number, workMs: number, restMs: number, sabotage: SoakSabotage = {}): Promise<SoakResult> => {
+  const folder = mkdtempSync(join(tmpdir(), 'foxdeck-soak-'));
+  folders.push(folder);
+  const size = { cores: 3, stores: 4, fronts: 3, samplers: 5, zones: 3, tolerance: 1 };
+  return runSoak({ seed, size, workMs, restMs, meanFaultMs: 1400, processesMost: 22, folder, sabotage });
+};
+/** What does not rest on how fast this machine is; the rest is printed. */
+const judged = ({ findings }: SoakResult): ReadonlyArray<string> => {
+  for (const { rule, what, timed } of findings)
+    if (timed) process.stdout.write(`timed, not judged: ${rule}: ${what}\n`);
+  return findings.filter(({ timed }) => !timed).map(({ rule, what }) => `${rule}: ${what}`);
+};
+
+test('a short soak of real processes loses nothing, does nothing twice and is not stuck', async () => {
+  const result = await soak(7, 40_000, 18_000);
+  process.stdout.write(
+    `${JSON.stringify(result.counts)}, recoveries in ms: ${result.recoveriesMs.map(Math.round).join()}\n`,
+  );
+  expect(judged(result)).toEqual([]);
+  expect(result.counts['batches']).toBeGreaterThan(0);
+});
+
+describe('the checkers of a soak notice', () => {
+  const noticed: ReadonlyArray<readonly [string, SoakSabotage, RegExp]> = [
+    ['an ended batch that is forgotten early', { bounds: { keepLotsMs: 500 } }, /a batch that was taken is there/],
+    ['a copy that is dropped', { planted: 'forgetsWrites', onlyRole: 'store' }, /a batch that was taken is there/],
+    ['an end that takes back results', { planted: 'endTakesResultsBack', onlyRole: 'front' }, /positions never change/],
+    ['a once-only call that is sent twice', { planted: 'onceOnlyIsRepeatable', onlyRole: 'core' }, /runs once at most/],
+    ['a change that a minority acknowledges', { coresApart: true }, /one change|the newest version/],
+    ['a process that leaks', { planted: 'leaksMemory', onlyRole: 'store' }, /no process grows without end/],
+  ];
+  test.each(noticed)('%s', async (_, sabotage, finding) => {
+    const { findings } = await soak(11, 12_000, 4000, sabotage);
+    expect(findings.map(({ rule, what }) => `${rule}: ${what}`).join('\n')).toMatch(finding);
+  });
+});
+
+describe('a soak refuses in one line', () => {
+  test.each<[string, ReadonlyArray<string>, RegExp]>([
+    ['an unknown flag', ['--bogus', '1'], /bogus/],
+    ['an empty range of seeds', ['--seeds', '5-2'], /names no seed/],
+    ['seeds that are no numbers', ['--seeds', 'a-b'], /--seeds/],
+    ['more processes than the machine bears', ['--fronts', '9000'], /more than this machine/],
+    ['too few stores', ['--stores', '2'], /--stores/],
+    ['a folder that cannot be written', ['--keep', '/proc/foxdeck-soak'], /can't be written/],
+    ['settings that cannot be read', ['--settings', '/nowhere.json'], /--settings/],
+  ])('%s', (_, line, reason) => {
+    const given = soakArguments(line);
+    expect(given.isErr && given.error).toMatch(reason);
+  });
+});
