--- a/src/soak/soakChecks.ts
+++ b/src/soak/soakChecks.ts
@@ -7,6 +7,8 @@
 
 /** What a run left to be judged. */
 export type SoakOutcome = {
+  /** Whether there was time enough for all work to end. */
+  readonly whole: boolean;
   readonly seen: ReadonlyArray<Observation>;
   readonly history: ReadonlyArray<string>;
   readonly healedAt: number;
@@ -63,7 +65,7 @@
   const untimed = (rule: string, list: ReadonlyArray<string>): ReadonlyArray<SoakFinding> =>
     list.map((what) => ({ rule, what, timed: false }));
   return [
-    ...fleetCheckers.all(seen, true).map((each) => ({ ...each, timed: timedRules.has(each.rule) })),
+    ...fleetCheckers.all(seen, outcome.whole).map((each) => ({ ...each, timed: timedRules.has(each.rule) })),
     ...untimed('processes do not end by themselves', outcome.exits),
     ...outcome.overstayed.map((what) => ({ rule: 'a process ends within its grace', what, timed: true })),
     ...outcome.silences.map((what) => ({ rule: 'a request ends with an answer or a reset', what, timed: true })),
--- a/src/soak/soakRun.ts
+++ b/src/soak/soakRun.ts
@@ -19,6 +19,8 @@
   readonly meanFaultMs: number;
   /** How long the fleet may rest after the closing blow, in milliseconds. */
   readonly restMs?: number;
+  /** Work goes on, within a minute, until this many batches were taken. */
+  readonly batchesLeast?: number;
   /** Where data folders, logs and the timeline of a failure go. */
   readonly folder: string;
   readonly processesMost: number;
@@ -42,6 +44,9 @@
 const bootMostMs = 30_000;
 const bootPollMs = 100;
 const settleMs = 22_000;
+/** With a shorter rest not all work can end. */
+const wholeRestMs = 15_000;
+const slowestMs = 60_000;
 const readFinalMs = 6000;
 const sampleEveryMs = 500;
 const progressEveryMs = 5000;
@@ -138,7 +143,7 @@
     const run: SoakState = { world, fleet, seen, saw, faults: () => waiting.faults };
     let [workOver, allOver] = [false, false];
     let workEnd = Infinity;
-    const until = bootMostMs + options.workMs + restMs;
+    const until = bootMostMs + options.workMs + slowestMs + restMs;
     const clients = startClients({ run, workOver: () => workOver, allOver: () => allOver, until });
     await booted(run);
     const began = world.now();
@@ -153,6 +158,8 @@
     });
     waiting.faults = faults;
     await world.sleep(options.workMs);
+    const taken = (): number => seen.filter((each) => each.kind === 'batchTaken').length;
+    while (taken() < (options.batchesLeast ?? 0) && world.now() < workEnd + slowestMs) await world.sleep(bootPollMs);
     workOver = true;
     faults.close('killAll');
     await world.sleep(1000);
@@ -165,6 +172,7 @@
     await world.sleep(readFinalMs / 3);
     allOver = true;
     const outcome = {
+      whole: restMs >= wholeRestMs,
       seen,
       history: faults.history,
       healedAt,
