Free ports and stand-in bounds stand once

Three copies of the search for free ports and three of the bounds that stand-in fleets are told became one each; no behaviour changes. Tests of signals, the simulator and the control side pass (15).

--- a/src/dev/fleetProcesses.ts
+++ b/src/dev/fleetProcesses.ts
@@ -1,9 +1,9 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { createWriteStream, existsSync, mkdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
-import { createServer } from 'node:net';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { deployment, type Deployment } from './deployment.js';
+import { freePorts } from './freePorts.js';
 import type { Sight } from './standIn.js';
 
 type Member = {
@@ -29,20 +29,6 @@
 };
 
 const here = fileURLToPath(new URL('.', import.meta.url));
-const freePorts = async (count: number): Promise<ReadonlyArray<number>> => {
-  const servers = await Promise.all(
-    Array.from(
-      { length: count },
-      () =>
-        new Promise<ReturnType<typeof createServer>>((resolve) => {
-          const server = createServer().listen(0, '127.0.0.1', () => resolve(server));
-        }),
-    ),
-  );
-  const ports = servers.map((server) => (server.address() as { port: number }).port);
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-  return ports;
-};
 
 /** Starts a deployment's nodes and stand-ins in a folder, each a process of its own on loopback. */
 export const startFleet = async (given: Deployment, folder: string, firstPort?: number): Promise<Fleet> => {
--- a/src/dev/loopbackFleet.ts
+++ b/src/dev/loopbackFleet.ts
@@ -1,11 +1,12 @@
 import { fork, spawn, type ChildProcess } from 'node:child_process';
 import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs';
 import { request } from 'node:http';
-import { createServer, type AddressInfo } from 'node:net';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { build } from 'esbuild';
 import type { FleetSettings, Role } from '../fleet/fleetTypes.js';
+import { freePorts } from './freePorts.js';
+import { standInBounds } from './standInBounds.js';
 
 /** One real process of the fleet. */
 export type FleetProcess = {
@@ -34,13 +35,6 @@
 /** Memory as a deployment sets it, in megabytes of old and of young space. */
 const memory = { front: [160, 8], core: [160, 4], store: [220, 8] } as const;
 
-const freePorts = async (count: number): Promise<ReadonlyArray<number>> => {
-  const servers = Array.from({ length: count }, () => createServer());
-  await Promise.all(servers.map((server) => new Promise<void>((done) => server.listen(0, '127.0.0.1', () => done()))));
-  const ports = servers.map((server) => (server.address() as AddressInfo).port);
-  await Promise.all(servers.map((server) => new Promise((done) => server.close(done))));
-  return ports;
-};
 const ended = (child: ChildProcess): Promise<void> =>
   new Promise((resolve) => {
     if (child.exitCode !== null || child.signalCode !== null) resolve();
@@ -82,15 +76,7 @@
       firstStart: true,
       tolerance: 1,
       beatMs: 1200,
-      bounds: {
-        drainMs: 2000,
-        graceMs: 8000,
-        cancelMs: 3000,
-        leaseMs: 3000,
-        thawMs: 300,
-        keepLotsMs: 120_000,
-        contactMs: 3000,
-      },
+      bounds: { ...standInBounds, graceMs: 8000 },
     };
     const file = join(options.folder, `${name}.json`);
     writeFileSync(file, JSON.stringify(settings));
--- a/src/sim/fleet/virtualFleet.ts
+++ b/src/sim/fleet/virtualFleet.ts
@@ -4,6 +4,7 @@
 import { brands } from '../../shared/brands.js';
 import { memoryLog } from '../../shared/memoryLog.js';
 import { plainDialect } from '../../dev/plainDialect.js';
+import { standInBounds } from '../../dev/standInBounds.js';
 import type { Observation } from './observations.js';
 import { makeVirtualDisk, type VirtualDisk } from './virtualFiles.js';
 import { makeVirtualNetwork, type VirtualNetwork } from './virtualNetwork.js';
@@ -98,15 +99,7 @@
     firstStart,
     tolerance: size.tolerance,
     beatMs,
-    bounds: {
-      drainMs: 2000,
-      graceMs: 6000,
-      cancelMs: 3000,
-      leaseMs: 3000,
-      thawMs: 300,
-      keepLotsMs: 120_000,
-      contactMs: 3000,
-    },
+    bounds: standInBounds,
   });
 
   const add = (role: Role, firstStart = false): VirtualMachine => {
--- a/src/soak/soakFleet.ts
+++ b/src/soak/soakFleet.ts
@@ -6,7 +6,8 @@
 import { virtualSampler, type VirtualSampler } from '../sim/fleet/virtualSampler.js';
 import { realEdge } from '../fleet/realEdge.js';
 import { makeSocketTracker, type SocketTracker } from './socketTracker.js';
-import { freePorts } from './freePorts.js';
+import { freePorts } from '../dev/freePorts.js';
+import { standInBounds } from '../dev/standInBounds.js';
 import type { PlantedFault } from './nodeFaults.js';
 import type { RealWorld } from './realWorld.js';
 import { makeSoakMachine, type MachineEvents, type SoakMachine } from './soakMachine.js';
@@ -47,15 +48,6 @@
 const textShare = 0.6;
 /** Nobody listens here: the address of a machine while none runs. */
 const nowhere = '127.0.0.1:9';
-const bounds: FleetSettings['bounds'] = {
-  drainMs: 2000,
-  graceMs: 6000,
-  cancelMs: 3000,
-  leaseMs: 3000,
-  thawMs: 300,
-  keepLotsMs: 120_000,
-  contactMs: 3000,
-};
 const counted = new Set<Role>(['core', 'store']);
 
 type Sampler = { readonly running: VirtualSampler; readonly sockets: SocketTracker; readonly id: string };
@@ -111,7 +103,7 @@
       firstStart,
       tolerance: size.tolerance,
       beatMs,
-      bounds: { ...bounds, ...sabotage.bounds },
+      bounds: { ...standInBounds, ...sabotage.bounds },
       ...(planted && { planted }),
     };
     const apart = sabotage.coresApart === true && role === 'core';
