Soak: acknowledged changes are probed for at fronts; memory is summed by round

A prober asks for the route of the newest acknowledged change 2 s after it, at fronts in touch; with its verdict turned round it reports, so it does probe. The peak of memory counted two rounds of samples as one.

--- a/src/soak/soakChecks.ts
+++ b/src/soak/soakChecks.ts
@@ -17,6 +17,8 @@
   readonly overstayed: ReadonlyArray<string>;
   /** Requests that got no answer on an open connection, at fronts in touch. */
   readonly silences: ReadonlyArray<string>;
+  /** Acknowledged changes that were not in force in time at fronts in touch. */
+  readonly lateChanges: ReadonlyArray<string>;
   readonly samples: ReadonlyArray<ResourceSample>;
 };
 
@@ -69,6 +71,7 @@
     ...untimed('processes do not end by themselves', outcome.exits),
     ...outcome.overstayed.map((what) => ({ rule: 'a process ends within its grace', what, timed: true })),
     ...outcome.silences.map((what) => ({ rule: 'a request ends with an answer or a reset', what, timed: true })),
+    ...outcome.lateChanges.map((what) => ({ rule: 'a change is in force in time', what, timed: true })),
     ...stuck(seen, healedAt),
     ...recovery(seen, healedAt),
     ...(outcome.final === undefined ? untimed('the newest version can be read', ['no core told it']) : []),
@@ -113,8 +116,7 @@
 const peakMemoryMb = (samples: ReadonlyArray<ResourceSample>): number => {
   const totals = new Map<number, number>();
   for (const { at, memoryMb } of samples) {
-    const second = Math.floor(at / 1000);
-    totals.set(second, (totals.get(second) ?? 0) + memoryMb);
+    totals.set(at, (totals.get(at) ?? 0) + memoryMb);
   }
   return Math.max(0, ...totals.values());
 };
--- a/src/soak/soakRun.ts
+++ b/src/soak/soakRun.ts
@@ -70,7 +70,16 @@
   const given = { world, fleet, saw, until: options.until, acknowledged };
   const working = makeFleetClients({ ...given, over: workOver });
   const asking = makeFleetClients({ ...given, over: allOver });
-  const extra = makeSoakClients({ world, fleet: () => fleet, seen: run.seen, saw, over: allOver, keptMs });
+  const extra = makeSoakClients({
+    world,
+    fleet: () => fleet,
+    seen: run.seen,
+    saw,
+    over: allOver,
+    keptMs,
+    inTouch: run.inTouch,
+    late: run.late,
+  });
   for (let nth = 1; nth <= operators; nth += 1) working.operator(`operator-${nth}`);
   return {
     working,
@@ -80,6 +89,7 @@
       for (let nth = 1; nth <= quitters; nth += 1) extra.quitter(`quitter-${nth}`);
       extra.reader();
       extra.reader();
+      extra.prober();
     },
   };
 };
@@ -90,6 +100,8 @@
   readonly seen: Observation[];
   readonly saw: (observation: Observation) => void;
   readonly faults: () => FleetFaults | undefined;
+  readonly inTouch: () => boolean;
+  readonly late: (what: string) => void;
 };
 
 /** Waits until a caller is served. */
@@ -116,6 +128,7 @@
     if (observation.kind === 'asked' && observation.silent && inTouch()) silences.push(observation.attempt);
   };
   const silences: string[] = [];
+  const lateChanges: string[] = [];
   const fleet = await startSoakFleet({
     world,
     size: options.size,
@@ -132,15 +145,24 @@
   });
   const timers = [
     setInterval(() => {
+      const at = world.now();
       for (const machine of fleet.machines) {
-        const used = resources.sample(machine, world.now());
+        const used = resources.sample(machine, at);
         if (used) samples.push(used);
       }
     }, sampleEveryMs),
     setInterval(() => progress(soakChecks.progress(seed, world.now(), seen)), progressEveryMs),
   ];
   try {
-    const run: SoakState = { world, fleet, seen, saw, faults: () => waiting.faults };
+    const run: SoakState = {
+      world,
+      fleet,
+      seen,
+      saw,
+      faults: () => waiting.faults,
+      inTouch,
+      late: (what) => void lateChanges.push(what),
+    };
     let [workOver, allOver] = [false, false];
     let workEnd = Infinity;
     const until = bootMostMs + options.workMs + slowestMs + restMs;
@@ -180,6 +202,7 @@
       exits: fleet.exits,
       overstayed,
       silences,
+      lateChanges,
       samples,
     };
     const findings = soakChecks.findings(outcome);
