--- a/src/soak/soakMachine.ts
+++ b/src/soak/soakMachine.ts
@@ -1,5 +1,5 @@
 import { spawn, type ChildProcess } from 'node:child_process';
-import { createWriteStream, mkdirSync, rmSync, writeFileSync } from 'node:fs';
+import { createWriteStream, mkdirSync, renameSync, rmSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import type { VirtualMachine } from '../sim/fleet/virtualFleet.js';
@@ -59,11 +59,12 @@
   let ended: Array<() => void> = [];
 
   const alive = (): boolean => child !== undefined && child.exitCode === null && child.signalCode === null;
-  const writeSettings = (): void =>
-    writeFileSync(
-      file,
-      JSON.stringify({ ...settings, seeds: seeds(), firstStart: settings.firstStart && lives === 0 }),
-    );
+  /** A process that reads at any time reads the whole of the old or of the new settings. */
+  const writeSettings = (): void => {
+    const firstStart = settings.firstStart && lives === 0;
+    writeFileSync(`${file}.new`, JSON.stringify({ ...settings, seeds: seeds(), firstStart }));
+    renameSync(`${file}.new`, file);
+  };
   const launch = (): void => {
     if (!running || alive()) return;
     if (settings.data !== undefined) {
