--- a/src/soak/soakRun.ts
+++ b/src/soak/soakRun.ts
@@ -43,6 +43,8 @@
 
 const bootMostMs = 30_000;
 const bootPollMs = 100;
+/** A caller whose own timer came this late was held up itself, with the samplers beside it. */
+const heldUpMs = 3300;
 const settleMs = 22_000;
 /** With a shorter rest not all work can end. */
 const wholeRestMs = 15_000;
@@ -125,7 +127,8 @@
   const inTouch = (): boolean => fleet.of('front').every((front) => waiting.faults?.inTouch(front.name) ?? true);
   const saw = (observation: Observation): void => {
     seen.push(observation);
-    if (observation.kind === 'asked' && observation.silent && inTouch()) silences.push(observation.attempt);
+    if (observation.kind !== 'asked' || !observation.silent || !inTouch()) return;
+    if (observation.at - observation.sentAt < heldUpMs) silences.push(observation.attempt);
   };
   const silences: string[] = [];
   const lateChanges: string[] = [];
