--- a/src/soak/soakRun.ts
+++ b/src/soak/soakRun.ts
@@ -19,7 +19,7 @@
   readonly meanFaultMs: number;
   /** How long the fleet may rest after the closing blow, in milliseconds. */
   readonly restMs?: number;
-  /** Work goes on, within a minute, until this many batches were taken. */
+  /** Work goes on, within a minute, until this many batches were taken and half as many ended. */
   readonly batchesLeast?: number;
   /** Where data folders, logs and the timeline of a failure go. */
   readonly folder: string;
@@ -49,7 +49,7 @@
 /** With a shorter rest not all work can end. */
 const wholeRestMs = 15_000;
 const slowestMs = 60_000;
-const readFinalMs = 6000;
+const readFinalMs = 30_000;
 const sampleEveryMs = 500;
 const progressEveryMs = 5000;
 const callers = 4;
@@ -183,8 +183,10 @@
     });
     waiting.faults = faults;
     await world.sleep(options.workMs);
-    const taken = (): number => seen.filter((each) => each.kind === 'batchTaken').length;
-    while (taken() < (options.batchesLeast ?? 0) && world.now() < workEnd + slowestMs) await world.sleep(bootPollMs);
+    const count = (kind: Observation['kind']): number => seen.filter((each) => each.kind === kind).length;
+    const least = options.batchesLeast ?? 0;
+    const enough = (): boolean => count('batchTaken') >= least && count('batchEnded') >= least / 2;
+    while (!enough() && world.now() < workEnd + slowestMs) await world.sleep(bootPollMs);
     workOver = true;
     faults.close('killAll');
     await world.sleep(1000);
@@ -192,9 +194,7 @@
     const healedAt = world.now();
     note('every machine is back');
     await world.sleep(restMs);
-    let final: number | undefined;
-    void clients.working.readFinal(world.now() + readFinalMs).then((version) => (final = version));
-    await world.sleep(readFinalMs / 3);
+    const final = await clients.working.readFinal(world.now() + readFinalMs);
     allOver = true;
     const outcome = {
       whole: restMs >= wholeRestMs,
--- a/src/tests/soak.test.ts
+++ b/src/tests/soak.test.ts
@@ -40,13 +40,13 @@
   test.each<[string, Times, SoakSabotage, RegExp]>([
     [
       'an ended batch that is forgotten early',
-      { workMs: 12_000, restMs: 2000 },
+      { workMs: 6000, restMs: 14_000 },
       { bounds: { keepLotsMs: 500 } },
       /a batch that was taken is there/,
     ],
     [
       'a copy that is dropped',
-      { workMs: 6000, restMs: 8000 },
+      { workMs: 6000, restMs: 12_000 },
       { planted: 'forgetsWrites', onlyRole: 'store' },
       /a batch that was taken is there/,
     ],
