--- a/src/soak/soakClients.ts
+++ b/src/soak/soakClients.ts
@@ -8,24 +8,16 @@
 export type SoakClients = {
   /** Reads taken batches from early and late positions at every front, and asks the ends of ended ones again. */
   readonly reader: () => void;
-  /** Asks for the route of the newest change at fronts in touch, once it has to be in force. */
-  readonly prober: () => void;
   /** Sends requests and leaves after a moment. */
   readonly quitter: (name: string) => void;
 };
 
-type Declared = Extract<Observation, { kind: 'declared' }>;
 type Taken = { readonly at: number; readonly items: ReadonlyArray<string>; read: number; ended: boolean };
 
 const readMs = 3000;
 const waitMs = 400;
 const endAgainShare = 0.1;
 const bodyShare = 0.2;
-/** How long after its acknowledgement a change has to be in force. */
-const applyMs = 2000;
-/** A change that was under way meanwhile is heard of within this time. */
-const hearMs = 2500;
-const probePauseMs = 300;
 
 /** Makes the clients; batches are followed for as long as they are kept. */
 export const makeSoakClients = (options: {
@@ -35,9 +27,6 @@
   readonly saw: (observation: Observation) => void;
   readonly over: () => boolean;
   readonly keptMs: number;
-  readonly inTouch: () => boolean;
-  /** Hears of an acknowledged change that is not in force in time. */
-  readonly late: (what: string) => void;
 }): SoakClients => {
   const { world, seen, saw } = options;
   const taken = new Map<string, Taken>();
@@ -55,13 +44,7 @@
     }
     for (const [batch, { at }] of taken) if (world.now() - at > options.keptMs) taken.delete(batch);
   };
-  const fronts = (): ReadonlyArray<string> => {
-    const running = options
-      .fleet()
-      .of('front')
-      .filter((front) => front.running());
-    return running.map((front) => options.fleet().frontOf(front));
-  };
+  const fronts = (): ReadonlyArray<string> => options.fleet().runningFronts();
   return {
     reader: () => {
       const calls = httpCalls(realEdge('reader').transport);
@@ -99,32 +82,6 @@
       };
       void run();
     },
-    prober: () => {
-      const calls = httpCalls(realEdge('prober').transport);
-      const declared = (): ReadonlyArray<Declared> =>
-        seen.filter((each): each is Declared => each.kind === 'declared' && each.status !== 412 && each.status !== 400);
-      const probe = async (change: Declared): Promise<void> => {
-        const sentAt = world.now();
-        const headers = { host: `mark-${change.mark}.fleet`, 'foxdeck-attempt': `probe-${change.mark}` };
-        const front = world.pick(fronts());
-        const { status } = await calls.call(front, 'GET', '/thing', headers, '', readMs);
-        if (status !== 404 || !options.inTouch()) return;
-        await world.sleep(hearMs);
-        const others = declared().some((each) => each.mark !== change.mark && each.at > change.sentAt);
-        if (!others)
-          options.late(`version ${change.version} at ${front}, ${(sentAt - change.at).toFixed(0)} ms after it`);
-      };
-      const run = async (): Promise<void> => {
-        while (!options.over()) {
-          await world.sleep(probePauseMs);
-          const newest = declared()
-            .filter((each) => each.status === 200)
-            .at(-1);
-          if (newest && world.now() - newest.at > applyMs && options.inTouch()) await probe(newest);
-        }
-      };
-      void run();
-    },
     quitter: (name) => {
       const calls = httpCalls(realEdge(name).transport);
       const run = async (): Promise<void> => {
--- a/src/soak/soakFleet.ts
+++ b/src/soak/soakFleet.ts
@@ -27,6 +27,8 @@
   readonly machines: ReadonlyArray<SoakMachine>;
   readonly of: (role: Role) => ReadonlyArray<SoakMachine>;
   readonly add: (role: Role) => SoakMachine;
+  /** The addresses at which running fronts take requests. */
+  readonly runningFronts: () => ReadonlyArray<string>;
   readonly silenceSampler: (place: number, ms: number) => string;
   readonly slowSampler: (place: number, times: number, ms: number) => string;
   readonly end: () => Promise<void>;
@@ -173,6 +175,10 @@
     add: (role) => add(role),
     controlOf: (machine) => listenOf(machine)?.control ?? nowhere,
     frontOf: (machine) => listenOf(machine)?.front ?? nowhere,
+    runningFronts: () =>
+      machines
+        .filter((machine) => machine.role === 'front' && machine.running())
+        .map((machine) => machine.settings.listen.front ?? nowhere),
     samplers: size.samplers,
     restartSampler: (place, downMs) => {
       const sampler = steady(place);
--- a/src/soak/soakRun.ts
+++ b/src/soak/soakRun.ts
@@ -3,6 +3,7 @@
 import { makeFleetClients } from '../sim/fleet/fleetClients.js';
 import { makeFleetFaults, type FleetFaults } from '../sim/fleet/fleetFaults.js';
 import type { Observation } from '../sim/fleet/observations.js';
+import { changeProber } from './changeProber.js';
 import { makeRealWorld } from './realWorld.js';
 import { resources, type ResourceSample } from './resources.js';
 import { soakChecks, type SoakFinding } from './soakChecks.js';
@@ -19,8 +20,8 @@
   readonly meanFaultMs: number;
   /** How long the fleet may rest after the closing blow, in milliseconds. */
   readonly restMs?: number;
-  /** Work goes on, within a minute, until this many batches were taken and half as many ended. */
-  readonly batchesLeast?: number;
+  /** Work goes on, within a stated time, until this holds of what was seen. */
+  readonly workUntil?: (seen: ReadonlyArray<Observation>) => boolean;
   /** Where data folders, logs and the timeline of a failure go. */
   readonly folder: string;
   readonly processesMost: number;
@@ -48,7 +49,9 @@
 const settleMs = 22_000;
 /** With a shorter rest not all work can end. */
 const wholeRestMs = 15_000;
-const slowestMs = 60_000;
+/** The longest that work is prolonged for `workUntil`. */
+const prolongedMostMs = 180_000;
+const prolongedPollMs = 500;
 const readFinalMs = 30_000;
 const sampleEveryMs = 500;
 const progressEveryMs = 5000;
@@ -79,8 +82,6 @@
     saw,
     over: allOver,
     keptMs,
-    inTouch: run.inTouch,
-    late: run.late,
   });
   for (let nth = 1; nth <= operators; nth += 1) working.operator(`operator-${nth}`);
   return {
@@ -91,7 +92,7 @@
       for (let nth = 1; nth <= quitters; nth += 1) extra.quitter(`quitter-${nth}`);
       extra.reader();
       extra.reader();
-      extra.prober();
+      changeProber.start({ world, fleet, seen: run.seen, over: allOver, inTouch: run.inTouch, late: run.late });
     },
   };
 };
@@ -168,7 +169,8 @@
     };
     let [workOver, allOver] = [false, false];
     let workEnd = Infinity;
-    const until = bootMostMs + options.workMs + slowestMs + restMs;
+    const { workUntil = () => true } = options;
+    const until = bootMostMs + options.workMs + prolongedMostMs + restMs;
     const clients = startClients({ run, workOver: () => workOver, allOver: () => allOver, until });
     await booted(run);
     const began = world.now();
@@ -183,10 +185,7 @@
     });
     waiting.faults = faults;
     await world.sleep(options.workMs);
-    const count = (kind: Observation['kind']): number => seen.filter((each) => each.kind === kind).length;
-    const least = options.batchesLeast ?? 0;
-    const enough = (): boolean => count('batchTaken') >= least && count('batchEnded') >= least / 2;
-    while (!enough() && world.now() < workEnd + slowestMs) await world.sleep(bootPollMs);
+    while (!workUntil(seen) && world.now() < workEnd + prolongedMostMs) await world.sleep(prolongedPollMs);
     workOver = true;
     faults.close('killAll');
     await world.sleep(1000);
--- a/src/tests/soak.test.ts
+++ b/src/tests/soak.test.ts
@@ -2,6 +2,8 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { afterEach, describe, expect, test } from '@jest/globals';
+import { fleetCheckers } from '../sim/fleet/fleetCheckers.js';
+import type { Observation } from '../sim/fleet/observations.js';
 import { soakArguments } from '../soak/soakArguments.js';
 import type { SoakSabotage } from '../soak/soakFleet.js';
 import { runSoak, type SoakResult } from '../soak/soakRun.js';
@@ -16,11 +18,28 @@
 /** Nothing befalls a run of this mean: its processes live to its end. */
 const calmMeanMs = 1e9;
 
-const soak = (seed: number, times: Times, sabotage: SoakSabotage = {}): Promise<SoakResult> => {
+type Seen = ReadonlyArray<Observation>;
+
+const batchesLeast = 4;
+const endsLeast = 2;
+const enoughBatches = (seen: Seen): boolean =>
+  fleetCheckers.of(seen, 'batchTaken').length >= batchesLeast &&
+  fleetCheckers.of(seen, 'batchEnded').length >= endsLeast;
+const broken =
+  (rule: RegExp) =>
+  (seen: Seen): boolean =>
+    fleetCheckers.all(seen, false).some((violation) => rule.test(violation.rule));
+
+const soak = (
+  seed: number,
+  times: Times,
+  sabotage: SoakSabotage = {},
+  workUntil: (seen: Seen) => boolean = enoughBatches,
+): Promise<SoakResult> => {
   const folder = mkdtempSync(join(tmpdir(), 'foxdeck-soak-'));
   folders.push(folder);
   const size = { cores: 3, stores: 4, fronts: 3, samplers: 5, zones: 3, tolerance: 1 };
-  const run = { seed, size, meanFaultMs: 1400, ...times, batchesLeast: 4, processesMost: 22, folder, sabotage };
+  const run = { seed, size, meanFaultMs: 1400, ...times, workUntil, processesMost: 22, folder, sabotage };
   return runSoak(run);
 };
 /** What does not rest on how fast this machine is; the rest is printed. */
@@ -41,7 +60,8 @@
 
 describe('the checkers of a soak notice', () => {
   const short = { workMs: 6000, restMs: 2000 };
-  test.each<[string, Times, SoakSabotage, RegExp]>([
+  const afterwards = enoughBatches;
+  test.each<[string, Times, SoakSabotage, RegExp, ((seen: Seen) => boolean)?]>([
     [
       'an ended batch that is forgotten early',
       { workMs: 6000, restMs: 14_000 },
@@ -53,6 +73,7 @@
       { workMs: 6000, restMs: 12_000 },
       { planted: 'forgetsWrites', onlyRole: 'store' },
       /a batch that was taken is there/,
+      afterwards,
     ],
     [
       'an end that takes back results',
@@ -72,9 +93,10 @@
       { workMs: 22_000, restMs: 1000, meanFaultMs: calmMeanMs },
       { planted: 'leaksMemory', onlyRole: 'store' },
       /no process grows without end/,
+      afterwards,
     ],
-  ])('%s', async (_, times, sabotage, finding) => {
-    const { findings } = await soak(11, times, sabotage);
+  ])('%s', async (_, times, sabotage, finding, workUntil = broken(finding)) => {
+    const { findings } = await soak(11, times, sabotage, workUntil);
     expect(findings.map(({ rule, what }) => `${rule}: ${what}`).join('\n')).toMatch(finding);
   });
 });
