Ratings follow the room that they find; callers' requests no longer starve behind them

Cause: after a start each front rates all texts that are whole, all at once, and sends a call that was turned away again every 25 ms for as long as its time lasts, without bound or backoff. Plain samplers turn callers away with them, or let them wait behind a queue of ratings that is longer than their time. The class: retries that keep an overload alive (a metastable failure).

Now each front holds the ratings that it has open at a service under a limit (AIMD): raised by each call that found room, lowered where one was turned away, waited in a sampler's queue or ran out of time. Rounds of attempts that found no room double their pause, with jitter, up to the aim; callers' requests too.

--- a/src/fleet/front/attempts.ts
+++ b/src/fleet/front/attempts.ts
@@ -3,6 +3,7 @@
 import type { CallEvents, SamplerClient } from '../samplerClient.js';
 import type { HedgeControl } from './hedgeControl.js';
 import type { SamplerDirectory } from './samplerDirectory.js';
+import { retryBackoffMs } from '../../policy/retryBackoff.js';
 
 /** How a request with a short answer ended. */
 export type Attempted =
@@ -31,9 +32,12 @@
   readonly allowed: () => boolean;
   /** Answers of 5xx are tried elsewhere too; they are the sampler's own word otherwise. */
   readonly retryFaults: boolean;
+  /** Hears of each sampler that had no room for it. */
+  readonly turnedAway?: () => void;
 };
 
-const againMs = 25;
+/** Less time than this is not worth another round of attempts. */
+const roundMs = 25;
 const awayMs = 400;
 const fullMs = 60;
 
@@ -48,11 +52,12 @@
     readonly dialect: Dialect;
     readonly hedges: HedgeControl;
     readonly now: () => number;
+    readonly chance: () => number;
   },
   rules: AttemptRules,
   done: (outcome: Attempted) => void,
 ): { readonly cancel: () => void } => {
-  const { client, directory, dialect, hedges, now } = tools;
+  const { client, directory, dialect, hedges, now, chance } = tools;
   const start = now();
   /** Requests of one service with one aim take alike. */
   const kind = `${rules.service} ${rules.aimMs}`;
@@ -60,7 +65,7 @@
   const deadline = start + rules.timeLeftMs;
   const tried = new Set<string>();
   const open = new Map<number, { readonly abort: () => void }>();
-  let [sends, over, doubtful] = [0, false, false];
+  let [sends, rounds, over, doubtful] = [0, 0, false, false];
   /** Kept connections that a sampler had forgotten don't use up attempts, as long as they are few. */
   let staleSends = 2;
   let last: Attempted | undefined;
@@ -89,12 +94,14 @@
     if (!rules.allowed()) return giveUp('not wanted any more');
     if (sends >= rules.most) return giveUp('every attempt was used');
     if (!send()) {
-      if (tried.size > 0 && left() > 3 * againMs) tried.clear();
-      if (left() < 2 * againMs) return giveUp('no sampler took it');
+      if (tried.size > 0 && left() > 3 * roundMs) tried.clear();
+      if (left() < 2 * roundMs) return giveUp('no sampler took it');
+      const pauseMs = Math.min(retryBackoffMs(rounds, rules.aimMs, chance()), left() - roundMs);
+      rounds += 1;
       retry = setTimeout(() => {
         retry = undefined;
         next();
-      }, againMs);
+      }, pauseMs);
     }
   };
   const send = (): boolean => {
@@ -133,6 +140,7 @@
       ended: () => {
         if (head!.notRun) {
           sends -= 1;
+          rules.turnedAway?.();
           return failed(`turned away with ${status}`, false, status === 421 ? awayMs : fullMs);
         }
         open.delete(place);
--- a/src/fleet/front/ratings.ts
+++ b/src/fleet/front/ratings.ts
@@ -1,12 +1,13 @@
 import { texts } from '../../shared/texts.js';
 import type { Dialect } from '../dialect.js';
-import type { Grant, LotResult } from '../fleetTypes.js';
+import type { Grant, HostBinding, LotItem, LotResult } from '../fleetTypes.js';
 import type { FleetView } from '../watcher.js';
 import type { SamplerClient } from '../samplerClient.js';
 import { traffic } from '../traffic.js';
-import { attempts } from './attempts.js';
+import { attempts, type Attempted } from './attempts.js';
 import type { HedgeControl } from './hedgeControl.js';
 import type { SamplerDirectory } from './samplerDirectory.js';
+import { makeServiceLimiter, type LimitedCall } from './serviceLimiter.js';
 
 /** Rating calls: each whole text is rated before its result is said. */
 export type Ratings = {
@@ -19,10 +20,16 @@
   readonly open: () => number;
 };
 
+type Rating = NonNullable<LotItem['rating']>;
+
 const ratingMs = 4000;
 const againMs = 80;
 
-/** Makes a front's rating calls. */
+/** Whether a call waited in a sampler's queue, or its time ran out. */
+const foundNoRoom = (outcome: Attempted): boolean =>
+  outcome.kind === 'answered' ? (outcome.head.waiting ?? 0) > 0 : outcome.kind === 'unknown';
+
+/** Makes a front's rating calls; how many are open at a service at once follows the room that they find there. */
 export const makeRatings = (options: {
   readonly client: SamplerClient;
   readonly directory: SamplerDirectory;
@@ -36,6 +43,9 @@
   readonly leased: (lot: string) => boolean;
 }): Ratings => {
   const { dialect, view } = options;
+  const limiter = makeServiceLimiter(options.now);
+  const bindingOf = ({ host, path }: Rating): HostBinding | undefined =>
+    traffic.match(view().followed?.traffic, host, path);
   let open = 0;
   return {
     open: () => open,
@@ -63,8 +73,21 @@
         if (over) return;
         if (!asked) return finish({ ...whole, rating: '' });
         if (!options.wanted(grant)) return finish(undefined);
-        const binding = traffic.match(view().followed?.traffic, asked.host, asked.path);
+        const binding = bindingOf(asked);
         if (!binding || !options.leased(grant.lot)) return wait();
+        let begun = false;
+        const leaveQueue = limiter.enter(traffic.serviceFor(binding, options.chance()), (limited) => {
+          begun = true;
+          call(asked, limited);
+        });
+        if (!begun) leaveOff = leaveQueue;
+      };
+      const call = (asked: Rating, limited: LimitedCall): void => {
+        const binding = bindingOf(asked);
+        if (!binding || !options.leased(grant.lot)) {
+          limited.ended();
+          return wait();
+        }
         const work = attempts(
           options,
           {
@@ -77,8 +100,11 @@
             call: (sampler, left) => dialect.ratingCall(grant.item, sampler, left),
             allowed: () => !over && options.wanted(grant) && options.leased(grant.lot),
             retryFaults: false,
+            turnedAway: limited.overloaded,
           },
           (outcome) => {
+            if (!over && foundNoRoom(outcome)) limited.overloaded();
+            limited.ended();
             if (over) return;
             if (outcome.kind === 'answered' && outcome.status < 300 && outcome.head.stamp !== '')
               return finish({ ...whole, rating: outcome.head.stamp });
--- /dev/null
+++ b/src/fleet/front/serviceLimiter.ts
@@ -0,0 +1,63 @@
+import { concurrencyLimit, type ConcurrencyLimit } from '../../policy/concurrencyLimit.js';
+
+/** A call that has begun under the limit. */
+export type LimitedCall = {
+  /** Notes that a sampler had no room for it: it was turned away, or waited in a queue. */
+  readonly overloaded: () => void;
+  /** Ends it; the next one that waits begins. */
+  readonly ended: () => void;
+};
+
+/** Bounds how many background calls one front has open at each service, so that callers' requests find room there. */
+export type ServiceLimiter = {
+  /** Begins a call now or once there is room; answers how to give up waiting. */
+  readonly enter: (service: string, begin: (call: LimitedCall) => void) => () => void;
+};
+
+type Waiting = { readonly begin: (call: LimitedCall) => void };
+type Service = { limit: ConcurrencyLimit; open: number; readonly waiting: Set<Waiting> };
+
+/** Makes a front's limiter; calls of one service begin in the order in which they came. */
+export const makeServiceLimiter = (now: () => number): ServiceLimiter => {
+  const services = new Map<string, Service>();
+  const serviceOf = (name: string): Service => {
+    const known = services.get(name);
+    if (known) return known;
+    const made: Service = { limit: concurrencyLimit.initial, open: 0, waiting: new Set() };
+    services.set(name, made);
+    return made;
+  };
+  const start = (service: Service, { begin }: Waiting): void => {
+    service.open += 1;
+    let [ended, overloaded] = [false, false];
+    begin({
+      overloaded: () => {
+        overloaded = true;
+        service.limit = concurrencyLimit.afterOverload(service.limit, now());
+      },
+      ended: () => {
+        if (ended) return;
+        ended = true;
+        service.open -= 1;
+        if (!overloaded) service.limit = concurrencyLimit.afterRoom(service.limit);
+        startWaiting(service);
+      },
+    });
+  };
+  const startWaiting = (service: Service): void => {
+    for (const next of service.waiting) {
+      if (!concurrencyLimit.allows(service.limit, service.open)) return;
+      service.waiting.delete(next);
+      start(service, next);
+    }
+  };
+  return {
+    enter: (name, begin) => {
+      const service = serviceOf(name);
+      const call: Waiting = { begin };
+      service.waiting.add(call);
+      startWaiting(service);
+      return () => void service.waiting.delete(call);
+    },
+  };
+};
--- a/src/tests/attempts.test.ts
+++ b/src/tests/attempts.test.ts
@@ -102,7 +102,7 @@
       retryFaults: true,
       ...more,
     };
-    attempts({ client, directory, dialect: plainDialect, hedges, now }, rules, (outcome) => {
+    attempts({ client, directory, dialect: plainDialect, hedges, now, chance: () => 0 }, rules, (outcome) => {
       if (told) throw new Error('told twice');
       told = outcome;
     });
--- a/src/tests/flappingSamplers.test.ts
+++ b/src/tests/flappingSamplers.test.ts
@@ -56,7 +56,7 @@
     });
     const rules = { attempt, service: 'texts', repeatable, most: 3, aimMs: 300, timeLeftMs: 4000, call };
     attempts(
-      { client, directory, dialect: plainDialect, hedges, now },
+      { client, directory, dialect: plainDialect, hedges, now, chance: () => 0 },
       { ...rules, allowed: () => true, retryFaults: true },
       (outcome) => outcomes.push(outcome),
     );
--- a/src/tests/greyFront.ts
+++ b/src/tests/greyFront.ts
@@ -34,7 +34,7 @@
     const place = outcomes.push(undefined) - 1;
     const attempt = `q${place}`;
     attempts(
-      { client, directory, dialect: plainDialect, hedges, now },
+      { client, directory, dialect: plainDialect, hedges, now, chance },
       {
         attempt,
         service: 'texts',
