--- a/src/tests/ratingLoad.test.ts
+++ b/src/tests/ratingLoad.test.ts
@@ -89,7 +89,7 @@
 };
 
 test('texts that all are to be rated at once leave slow samplers room for the requests of callers', () => {
-  const { pool, fronts: running } = loadedFronts();
+  const { fronts: running } = loadedFronts();
   let rated = 0;
   for (const front of running)
     for (let number = 0; number < ratingsOfFront; number += 1) front.rate(number, () => (rated += 1));
