--- a/src/soak/soakRun.ts
+++ b/src/soak/soakRun.ts
@@ -4,7 +4,7 @@
 import { makeFleetFaults, type FleetFaults } from '../sim/fleet/fleetFaults.js';
 import type { Observation } from '../sim/fleet/observations.js';
 import { changeProber } from './changeProber.js';
-import { makeRealWorld } from './realWorld.js';
+import { makeRealWorld, type RealWorld } from './realWorld.js';
 import { resources, type ResourceSample } from './resources.js';
 import { soakChecks, type SoakFinding } from './soakChecks.js';
 import { makeSoakClients } from './soakClients.js';
@@ -22,6 +22,8 @@
   readonly restMs?: number;
   /** Work goes on, within a stated time, until this holds of what was seen. */
   readonly workUntil?: (seen: ReadonlyArray<Observation>) => boolean;
+  /** The rest goes on, within a stated time, until this holds of what was seen. */
+  readonly restUntil?: (seen: ReadonlyArray<Observation>) => boolean;
   /** Where data folders, logs and the timeline of a failure go. */
   readonly folder: string;
   readonly processesMost: number;
@@ -49,10 +51,14 @@
 const settleMs = 22_000;
 /** With a shorter rest not all work can end. */
 const wholeRestMs = 15_000;
-/** The longest that work is prolonged for `workUntil`. */
+/** The longest that work is prolonged for `workUntil`, and the rest for `restUntil`. */
 const prolongedMostMs = 180_000;
 const prolongedPollMs = 500;
 const readFinalMs = 30_000;
+/** Trouble begins so long after the work, and the last of it so long before its end. */
+const calmAtBeginMs = 500;
+const calmBeforeEndMs = 1500;
+const closingDownMs = 1000;
 const sampleEveryMs = 500;
 const progressEveryMs = 5000;
 const callers = 4;
@@ -98,7 +104,7 @@
 };
 
 type SoakState = {
-  readonly world: ReturnType<typeof makeRealWorld>;
+  readonly world: RealWorld;
   readonly fleet: SoakFleet;
   readonly seen: Observation[];
   readonly saw: (observation: Observation) => void;
@@ -114,118 +120,136 @@
   while (!accepted() && run.world.now() < until) await run.world.sleep(bootPollMs);
 };
 
+/** What a run notes beside the observations of its clients. */
+const makeNotes = (world: RealWorld) => {
+  const lines: string[] = [];
+  return {
+    overstayed: [] as string[],
+    silences: [] as string[],
+    lateChanges: [] as string[],
+    samples: [] as ResourceSample[],
+    line: (text: string): void => void lines.push(`${(world.now() / 1000).toFixed(3)} ${text}`),
+    /** What was noted and what befell the fleet, in order of time. */
+    timeline: (history: ReadonlyArray<string>): ReadonlyArray<string> =>
+      [...lines, ...history].sort((one, other) => Number.parseFloat(one) - Number.parseFloat(other)),
+  };
+};
+type Notes = ReturnType<typeof makeNotes>;
+
+/** Samples what processes use and reports progress; answers how to leave off. */
+const watch = (options: SoakOptions, { world, fleet, seen }: SoakState, { samples }: Notes): (() => void) => {
+  const sample = (): void => {
+    const at = world.now();
+    for (const machine of fleet.machines) {
+      const used = resources.sample(machine, at);
+      if (used) samples.push(used);
+    }
+  };
+  const report = (): void => options.progress?.(soakChecks.progress(options.seed, world.now(), seen));
+  const timers = [setInterval(sample, sampleEveryMs), setInterval(report, progressEveryMs)];
+  return () => timers.forEach((timer) => clearInterval(timer));
+};
+
+/** Waits within the stated time until a condition holds of what was seen. */
+const prolong = async ({ world, seen }: SoakState, condition: SoakOptions['workUntil']): Promise<void> => {
+  const until = world.now() + prolongedMostMs;
+  while (condition && !condition(seen) && world.now() < until) await world.sleep(prolongedPollMs);
+};
+
+/** Lets the clients work under trouble. */
+const work = async (options: SoakOptions, run: SoakState, faultsBegin: (until: number) => void): Promise<void> => {
+  const { workMs, workUntil } = options;
+  faultsBegin(run.world.now() + workMs - calmBeforeEndMs);
+  await run.world.sleep(workMs);
+  await prolong(run, workUntil);
+};
+
+/** Kills every process and starts them again; answers when all machines are back. */
+const strikeAll = async ({ world, faults }: SoakState): Promise<number> => {
+  faults()?.close('killAll');
+  await world.sleep(closingDownMs);
+  faults()?.heal();
+  return world.now();
+};
+
+const writeRecords = (folder: string, records: Readonly<Record<string, ReadonlyArray<string>>>): void => {
+  for (const [name, lines] of Object.entries(records))
+    writeFileSync(join(folder, name), lines.map((line) => `${line}\n`).join(''));
+};
+
 /** Runs one seed: boot, work under trouble, a closing blow to every process, rest, and a last read. */
 export const runSoak = async (options: SoakOptions): Promise<SoakResult> => {
-  const { seed, folder, progress = () => undefined, restMs = settleMs } = options;
+  const { seed, folder, restMs = settleMs } = options;
   mkdirSync(folder, { recursive: true });
   const world = makeRealWorld(seed);
   const seen: Observation[] = [];
-  const samples: ResourceSample[] = [];
-  const timeline: string[] = [];
-  const note = (line: string): void => void timeline.push(`${(world.now() / 1000).toFixed(3)} ${line}`);
-  const overstayed: string[] = [];
-  const waiting: { faults?: FleetFaults } = {};
-  const inTouch = (): boolean => fleet.of('front').every((front) => waiting.faults?.inTouch(front.name) ?? true);
+  const notes = makeNotes(world);
+  const begun: { faults?: FleetFaults } = {};
+  const inTouch = (): boolean => fleet.of('front').every((front) => begun.faults?.inTouch(front.name) ?? true);
   const saw = (observation: Observation): void => {
     seen.push(observation);
     if (observation.kind !== 'asked' || !observation.silent || !inTouch()) return;
-    if (observation.at - observation.sentAt < heldUpMs) silences.push(observation.attempt);
+    if (observation.at - observation.sentAt < heldUpMs) notes.silences.push(observation.attempt);
   };
-  const silences: string[] = [];
-  const lateChanges: string[] = [];
   const fleet = await startSoakFleet({
     world,
     size: options.size,
     folder,
     saw,
-    calm: () => waiting.faults?.calm() ?? true,
+    calm: () => begun.faults?.calm() ?? true,
     inTouch,
     sabotage: options.sabotage ?? {},
     events: {
-      exitedByItself: (name, how) => note(`${name} ended by itself: ${how}`),
-      overstayed: (name) => overstayed.push(name),
-      notice: (name, what) => note(`${name}: ${what}`),
+      exitedByItself: (name, how) => notes.line(`${name} ended by itself: ${how}`),
+      overstayed: (name) => notes.overstayed.push(name),
+      notice: (name, what) => notes.line(`${name}: ${what}`),
     },
   });
-  const timers = [
-    setInterval(() => {
-      const at = world.now();
-      for (const machine of fleet.machines) {
-        const used = resources.sample(machine, at);
-        if (used) samples.push(used);
-      }
-    }, sampleEveryMs),
-    setInterval(() => progress(soakChecks.progress(seed, world.now(), seen)), progressEveryMs),
-  ];
+  const late = (what: string): void => void notes.lateChanges.push(what);
+  const run: SoakState = { world, fleet, seen, saw, faults: () => begun.faults, inTouch, late };
+  const stopWatching = watch(options, run, notes);
   try {
-    const run: SoakState = {
-      world,
-      fleet,
-      seen,
-      saw,
-      faults: () => waiting.faults,
-      inTouch,
-      late: (what) => void lateChanges.push(what),
-    };
     let [workOver, allOver] = [false, false];
-    let workEnd = Infinity;
-    const { workUntil = () => true } = options;
-    const until = bootMostMs + options.workMs + prolongedMostMs + restMs;
+    const until = bootMostMs + options.workMs + restMs + 2 * prolongedMostMs;
     const clients = startClients({ run, workOver: () => workOver, allOver: () => allOver, until });
     await booted(run);
-    const began = world.now();
-    workEnd = began + options.workMs;
     clients.begin();
-    const faults = makeFleetFaults(world, fleet, () => [], {
-      from: began + 500,
-      until: workEnd - 1500,
-      meanMs: options.meanFaultMs,
-      only: soakFaults.simulatedKinds,
-      extra: soakFaults.make(world, () => fleet, options.processesMost),
+    await work(options, run, (faultsEnd) => {
+      begun.faults = makeFleetFaults(world, fleet, () => [], {
+        from: world.now() + calmAtBeginMs,
+        until: faultsEnd,
+        meanMs: options.meanFaultMs,
+        only: soakFaults.simulatedKinds,
+        extra: soakFaults.make(world, () => fleet, options.processesMost),
+      });
     });
-    waiting.faults = faults;
-    await world.sleep(options.workMs);
-    while (!workUntil(seen) && world.now() < workEnd + prolongedMostMs) await world.sleep(prolongedPollMs);
     workOver = true;
-    faults.close('killAll');
-    await world.sleep(1000);
-    faults.heal();
-    const healedAt = world.now();
-    note('every machine is back');
+    const healedAt = await strikeAll(run);
+    notes.line('every machine is back');
     await world.sleep(restMs);
+    await prolong(run, options.restUntil);
     const final = await clients.working.readFinal(world.now() + readFinalMs);
     allOver = true;
-    const outcome = {
-      whole: restMs >= wholeRestMs,
-      seen,
-      history: faults.history,
-      healedAt,
-      final,
-      exits: fleet.exits,
-      overstayed,
-      silences,
-      lateChanges,
-      samples,
-    };
-    const findings = soakChecks.findings(outcome);
-    const lines = [...timeline, ...faults.history].sort(
-      (one, other) => Number.parseFloat(one) - Number.parseFloat(other),
-    );
-    writeFileSync(join(folder, 'timeline.txt'), `${lines.join('\n')}\n`);
-    writeFileSync(join(folder, 'seen.jsonl'), seen.map((each) => `${JSON.stringify(each)}\n`).join(''));
-    writeFileSync(join(folder, 'findings.txt'), findings.map((each) => `${each.rule}: ${each.what}\n`).join(''));
+    const history = begun.faults!.history;
+    const whole = restMs >= wholeRestMs;
+    const findings = soakChecks.findings({ ...notes, whole, seen, history, healedAt, final, exits: fleet.exits });
+    writeRecords(folder, {
+      'timeline.txt': notes.timeline(history),
+      'seen.jsonl': seen.map((each) => JSON.stringify(each)),
+      'findings.txt': findings.map((each) => `${each.rule}: ${each.what}`),
+    });
     return {
       seed,
       findings,
-      counts: soakChecks.counts(seen, faults.history),
-      recoveriesMs: soakChecks.recoveries(seen, faults.history, healedAt),
-      peakMemoryMb: soakChecks.peakMemoryMb(samples),
+      counts: soakChecks.counts(seen, history),
+      recoveriesMs: soakChecks.recoveries(seen, history, healedAt),
+      peakMemoryMb: soakChecks.peakMemoryMb(notes.samples),
       processes: fleet.machines.length,
-      history: faults.history,
+      history,
       seen,
     };
   } finally {
-    for (const timer of timers) clearInterval(timer);
+    stopWatching();
     world.close();
     await fleet.end();
   }
