--- a/src/fleet/fleetTypes.ts
+++ b/src/fleet/fleetTypes.ts
@@ -38,6 +38,8 @@
     readonly thawMs: number;
     readonly keepLotsMs: number;
     readonly contactMs: number;
+    /** How long a withdrawn key may be honoured anywhere, also by a front that is cut off; no bound without it. */
+    readonly revokeMs?: number;
   };
 };
 
@@ -93,6 +95,8 @@
   /** How long after a lot's first send its results are due, and after what time its items may be given up. */
   readonly lotDueMs: number;
   readonly lotWaitMs: number;
+  /** Callers need no key, even where there are tenants. */
+  readonly authExempt?: boolean;
 };
 
 /** A service of the declared traffic. */
@@ -115,12 +119,18 @@
   readonly idleMs: number;
 };
 
-/** The operator's declared traffic: a version of its own, and the document as it was sent. */
+/** A customer, known by its keys; fronts are told only digests of these. */
+export type Tenant = { readonly name: string; readonly keyDigests: ReadonlyArray<string> };
+
+/** The operator's declared traffic: a version of its own, and the document. */
 export type Traffic = {
   readonly version: number;
   readonly bindings: ReadonlyArray<HostBinding>;
   readonly services: ReadonlyArray<HostService>;
   readonly limits: CallerLimits;
+  /** Callers need a tenant's key where there is such a list, even an empty one. */
+  readonly tenants?: ReadonlyArray<Tenant>;
+  /** As it was sent, with keys; it is told to cores and operators only. */
   readonly document: string;
 };
 
@@ -159,6 +169,8 @@
 /** A lot as it was handed in. */
 export type LotBody = {
   readonly host: string;
+  /** The tenant whose key handed it in, where there are tenants. */
+  readonly tenant?: string;
   readonly model: string;
   readonly step: number;
   readonly minVersion: number;
@@ -204,6 +216,7 @@
 export type Grant = {
   readonly lot: string;
   readonly host: string;
+  readonly tenant?: string;
   readonly item: LotItem;
   readonly single: boolean;
   readonly minVersion: number;
--- a/src/fleet/traffic.ts
+++ b/src/fleet/traffic.ts
@@ -1,5 +1,23 @@
 import type { Reason } from '../shared/checked.js';
-import type { HostBinding, Traffic } from './fleetTypes.js';
+import type { HostBinding, Tenant, Traffic } from './fleetTypes.js';
+
+/** Why a list of tenants can't be taken: each has a name of its own, and a key belongs to one of them. */
+const againstTenants = (tenants: ReadonlyArray<Tenant>): ReadonlyArray<Reason> => {
+  const reasons: Reason[] = [];
+  const names = new Set<string>();
+  const holders = new Map<string, string>();
+  tenants.forEach(({ name, keyDigests }, index) => {
+    const path = `traffic.tenants[${index}]`;
+    if (names.has(name)) reasons.push({ path: `${path}.name`, message: `${name} is named twice` });
+    names.add(name);
+    for (const digest of keyDigests) {
+      const holder = holders.get(digest) ?? name;
+      if (holder !== name) reasons.push({ path: `${path}.keys`, message: `${name} shares a key with ${holder}` });
+      holders.set(digest, holder);
+    }
+  });
+  return reasons;
+};
 
 /** Why a declared traffic can't be taken on top of another; empty when it can. */
 const against = (before: Traffic | undefined, basedOn: number, value: Traffic): ReadonlyArray<Reason> => {
@@ -29,6 +47,7 @@
     if (!binding.prefix.startsWith('/') || !binding.prefix.endsWith('/'))
       say('prefix', 'must begin and end with a slash');
   });
+  reasons.push(...againstTenants(value.tenants ?? []));
   return reasons;
 };
 
