Cores keep the configuration encrypted on their disks

The operator's document holds tenants' keys, and a read has to give it back whole, also after all machines lost their power: digests alone can't be what disks hold. Weighed: keys in memory alone (lost with power everywhere); one secret for all cores (a further change of members that can lose the configuration). Tests: encryptedDisk.test.

--- a/src/fleet/core/coreProgram.ts
+++ b/src/fleet/core/coreProgram.ts
@@ -1,4 +1,5 @@
 import { Effect, type Context } from 'effect';
+import { encryptedDisk } from '../../core/encryptedDisk.js';
 import { openLeaseRecords } from '../../core/leaseRecords.js';
 import { openRecords } from '../../core/records.js';
 import { makeRegister } from '../../core/register.js';
@@ -52,6 +53,7 @@
   const { channels, now, wall, log, dialect, time } = tools;
   const disk = tools.disk!;
   const files = realDisk(settings.data!, tools.files);
+  const secret = await Effect.runPromise(encryptedDisk.openSecret.pipe(Effect.provideService(Disk, files)));
   let incarnation = wall();
   const outlive = (former: number): void => {
     incarnation = Math.max(incarnation, former) + 1;
@@ -122,7 +124,8 @@
     disk: disk.id,
     index,
     records: await Effect.runPromise(
-      openRecords('register', log, index.noted).pipe(Effect.provideService(Disk, files)),
+      // The configuration holds the operator's document with the tenants' keys.
+      openRecords('register', log, index.noted).pipe(Effect.provideService(Disk, encryptedDisk.over(files, secret))),
     ),
     restarted: !disk.fresh,
     leaseMs: coreLeaseMs,
