Fronts learn how lately a majority confirmed their configuration

Where a withdrawn key must stop working within a bound at any machine, a front that is cut off has to know that it is. Cores ask a majority of voters eight times within the bound whether their configuration is the newest, and say with each answer which sequence was confirmed and how long ago. A front counts that from when it asked, and only if it has that sequence. No clock of another machine is trusted, and nothing is sent more than before but these fields and the cores' reads.

--- a/src/fleet/core/coreProgram.ts
+++ b/src/fleet/core/coreProgram.ts
@@ -19,6 +19,7 @@
 import type { Program, ProgramTools } from '../program.js';
 import { serveCalls } from '../serveCalls.js';
 import { zonesOf } from '../zonesOf.js';
+import { configurationConfirmer } from './configurationConfirmer.js';
 import { serveControl } from './serveControl.js';
 import { makeControlHandler } from './controlHandler.js';
 import { makeLoadPermits } from './loadPermits.js';
@@ -34,7 +35,10 @@
 const keptSequences = 16;
 const reconcilerTask = 'membership';
 const keepMs = 1000;
+const confirmMs = 1500;
 const startRetryMs = 500;
+/** How often within the time for which a withdrawn key may be honoured the newest configuration is confirmed. */
+const confirmationsPerRevocation = 8;
 
 const every = (ms: number, work: () => unknown): NodeJS.Timeout => {
   let running = false;
@@ -137,6 +141,8 @@
     learnt: register.learn,
   });
   const samplerFile = makeSamplerFile(files);
+  const { revokeMs } = settings.bounds;
+  const confirmer = configurationConfirmer.make({ register, now, timeoutMs: confirmMs });
   const desk = makeWatchServer({
     self,
     known: await samplerFile.read(),
@@ -145,6 +151,7 @@
     now,
     wall,
     followed: () => followedNow,
+    ...(revokeMs !== undefined && { confirmed: confirmer.confirmed }),
   });
   const chosen = await Effect.runPromise(voter.chosen);
   if (chosen) register.learn(chosen.value);
@@ -255,6 +262,7 @@
     every(250, () => desk.tick()),
     every(300, () => reconciler.tick()),
     every(keepMs, () => samplerFile.keep(desk.samplers())),
+    ...(revokeMs === undefined ? [] : [every(revokeMs / confirmationsPerRevocation, confirmer.confirm)]),
     every(400, async () => {
       if (settings.firstStart && !register.known()) await Effect.runPromise(Effect.ignore(upkeep.founding));
       await Effect.runPromise(Effect.ignore(upkeep.follow));
--- a/src/fleet/core/watchServer.ts
+++ b/src/fleet/core/watchServer.ts
@@ -1,4 +1,4 @@
-import type { FollowedChange, WatchResponse, WatchRequest } from '../watcher.js';
+import type { ConfirmedSequence, FollowedChange, WatchResponse, WatchRequest } from '../watcher.js';
 import { watchers } from '../watcher.js';
 import type { Followed, Member, Sampler } from '../fleetTypes.js';
 
@@ -54,6 +54,8 @@
   readonly now: () => number;
   readonly wall: () => number;
   readonly followed: () => Followed | undefined;
+  /** The newest sequence that a majority of voters confirmed; none where nobody needs to know. */
+  readonly confirmed?: () => ConfirmedSequence | undefined;
   /** Samplers known from a former life of this core; they count as heard of now. */
   readonly known?: ReadonlyArray<Sampler>;
   /** News that follows other news this closely is told together; the first is told at once. */
@@ -165,6 +167,10 @@
     members.set(name, { ...known, heardAt: now() });
     return true;
   };
+  const withConfirmed = (response: WatchResponse): WatchResponse => {
+    const confirmed = options.confirmed?.();
+    return confirmed ? { ...response, confirmed } : response;
+  };
   const urgentFor = (ask: WatchRequest): boolean =>
     ask.incarnation !== options.incarnation ||
     ask.revision < Math.max(urgentRevision, membersAt) ||
@@ -183,13 +189,13 @@
       if (outlived !== undefined) return Promise.resolve({ ...unchanged, outlived });
       const at = urgentFor(ask) ? news(ask) : undefined;
       const first = ask.incarnation !== options.incarnation || ask.revision === 0;
-      if (at && (first || now() - wokeAt >= gatherMs)) return Promise.resolve(at);
+      if (at && (first || now() - wokeAt >= gatherMs)) return Promise.resolve(withConfirmed(at));
       if (at) wake();
       return new Promise((resolve) => {
         const settle = (): void => {
           clearTimeout(timer);
           const idle = { core: options.self().name, incarnation: options.incarnation, revision };
-          resolve(news(ask) ?? idle);
+          resolve(withConfirmed(news(ask) ?? idle));
         };
         const timer = setTimeout(() => {
           waiting = waiting.filter((each) => each !== settle);
--- a/src/fleet/watcher.ts
+++ b/src/fleet/watcher.ts
@@ -18,6 +18,9 @@
 export type FollowedChange = Pick<Followed, 'sequence' | 'models'> &
   Partial<Pick<Followed, 'stores' | 'voters' | 'electorate' | 'traffic'>>;
 
+/** A sequence that a majority of voters confirmed to be the newest, and how long before this answer it was asked. */
+export type ConfirmedSequence = { readonly sequence: number; readonly agoMs: number };
+
 /** What is newer at a core. */
 export type WatchResponse = {
   readonly core: string;
@@ -28,6 +31,7 @@
   readonly left?: ReadonlyArray<string>;
   readonly samplers?: ReadonlyArray<Sampler>;
   readonly followed?: FollowedChange;
+  readonly confirmed?: ConfirmedSequence;
   /** The core knows no more of the asking node than what it was told just now. */
   readonly selfUnknown?: boolean;
   /** A former life of the asking node is known under this incarnation, so its word was not taken. */
@@ -48,6 +52,10 @@
   readonly tell: () => void;
   /** True once some core has told its tables. */
   readonly heard: () => boolean;
+  /** When a core answered last, by the steady clock. */
+  readonly heardAt: () => number;
+  /** No change of the register that the view lacks was decided before this time, by the steady clock. */
+  readonly confirmedAt: () => number;
   /** Called after each change of the snapshot, with what changed. */
   readonly onChange: (listener: (before: FleetView, after: FleetView) => void) => void;
   /** Follows these cores too, from now on. */
@@ -123,6 +131,8 @@
   const running = new Set<string>();
   const listeners: Array<(before: FleetView, after: FleetView) => void> = [];
   let stopped = false;
+  let heardAt = -Infinity;
+  let confirmedAt = -Infinity;
 
   /** The cores to follow: the nearest by rendezvous, so that each is followed by its share of the nodes. */
   const chosen = (view: FleetView): ReadonlyArray<string> => {
@@ -168,6 +178,12 @@
     const revived = known === undefined || now() - known.heardAt > staleMs;
     if (newer || heard.members || heard.samplers || revived) publish(followed);
   };
+  /** The answer was made after it was asked for, so the confirmation is no older than counted from then. */
+  const noteContact = (askedAt: number, confirmed: ConfirmedSequence | undefined): void => {
+    heardAt = now();
+    if (confirmed && (state.get().followed?.sequence ?? 0) >= confirmed.sequence)
+      confirmedAt = Math.max(confirmedAt, askedAt - confirmed.agoMs);
+  };
   const run = (address: string): void => {
     if (running.has(address) || stopped) return;
     running.add(address);
@@ -188,6 +204,7 @@
           sequence: followed?.sequence ?? 0,
           trafficVersion: followed?.traffic?.version ?? 0,
         };
+        const askedAt = now();
         try {
           const heard = (await channels.call(address, 'watch.poll', ask, pullMs)) as WatchResponse;
           faults = 0;
@@ -201,6 +218,7 @@
           }
           told = { core: heard.incarnation, text };
           take(address, heard);
+          noteContact(askedAt, heard.confirmed);
           if (!wanted(address)) break;
         } catch {
           faults += 1;
@@ -220,6 +238,8 @@
   return {
     view: state.get,
     heard: () => cores.size > 0,
+    heardAt: () => heardAt,
+    confirmedAt: () => confirmedAt,
     onChange: (listener) => void listeners.push(listener),
     tell: () => {
       const body = { self: options.self() };
