Requests and items run under their tenant, without keys; unknown keys run nothing

Cause: keys were not looked at; every header but those of one connection was passed on. Class: headers and rules of the contract in force that the code did not know. Change: a front looks a key's digest up (401 without one that is known, but for exempt routes), sets the tenant's name itself and sends no key on; batches belong to their tenant (403 for others) and keep no keys; of an item's headers those that concern one connection or that the system sets are dropped when the batch is handed in (Transfer-Encoding went out as the batch named it). With revocationStrict a front honours keys only while its configuration was confirmed of late, else 503 and not ready. A front that no core answers says 503 in place of a final 401 or 404. The router of requests is a module of its own now; callers' requests travel as one value (Ask). Tests changed: signatures; newcomer.test shares its front with tenants.test; the pairs of controlSide moved to pairedRuns unchanged.

--- a/src/dev/plainDialect.ts
+++ b/src/dev/plainDialect.ts
@@ -1,7 +1,13 @@
 import type { ControlCall, Dialect, InHeaders, LotCall, OutHeaders, Reply } from '../fleet/dialect.js';
 import type { LotItem, Sampler, Traffic } from '../fleet/fleetTypes.js';
+import { keyDigest } from '../shared/keyDigest.js';
 import { texts } from '../shared/texts.js';
 
+/** Traffic as an operator of a fleet that stands alone hands it over. */
+export type PlainDocument = Omit<Traffic, 'document' | 'tenants'> & {
+  readonly tenants?: ReadonlyArray<{ readonly name: string; readonly keys: ReadonlyArray<string> }>;
+};
+
 const names = {
   attempt: 'foxdeck-attempt',
   timeLeft: 'foxdeck-time-left',
@@ -13,6 +19,8 @@
   load: 'foxdeck-load',
   wait: 'foxdeck-wait',
   resume: 'last-event-id',
+  key: 'foxdeck-key',
+  tenant: 'foxdeck-tenant',
 } as const;
 const paths = {
   samplers: '/foxdeck/samplers/',
@@ -29,14 +37,17 @@
 const versionLine = 'version:';
 const oneChannelOnly = new Set(['connection', 'keep-alive', 'te', 'trailer', 'transfer-encoding', 'content-length']);
 
+const withoutTenant = new Set([...oneChannelOnly, names.tenant]);
+const withoutKeys = new Set([...withoutTenant, names.key]);
+
 const one = (headers: InHeaders, name: string): string | undefined => {
   const value = headers[name];
   return Array.isArray(value) ? value[0] : value;
 };
-const passed = (raw: ReadonlyArray<string>): OutHeaders => {
+const passed = (raw: ReadonlyArray<string>, without: ReadonlySet<string>): OutHeaders => {
   const headers: OutHeaders = {};
   for (let at = 0; at + 1 < raw.length; at += 2)
-    if (!oneChannelOnly.has(raw[at]!.toLowerCase())) headers[raw[at]!] = raw[at + 1]!;
+    if (!without.has(raw[at]!.toLowerCase())) headers[raw[at]!] = raw[at + 1]!;
   return headers;
 };
 const parsed = <A>(body: Uint8Array): A | undefined => {
@@ -92,14 +103,16 @@
 export const plainDialect: Dialect = {
   ask: (headers) => {
     const resume = one(headers, names.resume);
+    const key = one(headers, names.key);
     return {
       attempt: one(headers, names.attempt) ?? '',
       timeLeftMs: Number(one(headers, names.timeLeft)) || longestMs,
       resumeAfter: resume === undefined ? undefined : Number(resume),
+      ...(key !== undefined && { key }),
     };
   },
   lotCall,
-  lotBody: (bytes, host, binding, wall) => {
+  lotBody: (bytes, host, binding, wall, { tenant }) => {
     const handed = parsed<{
       readonly model: string;
       readonly step: number;
@@ -109,7 +122,16 @@
     }>(bytes);
     if (!handed || !Array.isArray(handed.items)) return [{ path: 'items', message: 'none is listed' }];
     const { lotDueMs: dueMs, lotWaitMs: waitMs, attempts, single } = binding;
-    return { ...handed, host, single, handedAt: wall, dueMs, waitMs, attempts };
+    return {
+      ...handed,
+      host,
+      ...(tenant !== undefined && { tenant }),
+      single,
+      handedAt: wall,
+      dueMs,
+      waitMs,
+      attempts,
+    };
   },
   lotRead: (total, after, results) =>
     reply({
@@ -130,21 +152,24 @@
   controlCall,
   patched: (document, patch) => ({ ...(JSON.parse(document) as object), ...(patch as object) }),
   traffic: (document) => {
-    const told = document as Partial<Traffic>;
+    const told = document as Partial<PlainDocument>;
     if (!Number.isInteger(told.version) || !told.bindings || !told.services || !told.limits)
       return [{ path: 'traffic', message: 'version, bindings, services and limits are needed' }];
-    return { ...(told as Omit<Traffic, 'document'>), document: JSON.stringify(document) };
+    const { tenants, ...rest } = told as PlainDocument;
+    const known = tenants?.map(({ name, keys }) => ({ name, keyDigests: keys.map(keyDigest) }));
+    return { ...rest, ...(known && { tenants: known }), document: JSON.stringify(document) };
   },
   said: (fields) => JSON.stringify(fields),
   emptiedReply: (done) => reply({ done }),
-  passedOn: (raw, sampler, timeLeftMs, resumeAfter) => ({
-    ...passed(raw),
+  passedOn: (raw, caller, sampler, timeLeftMs, resumeAfter) => ({
+    ...passed(raw, caller.keysInUse ? withoutKeys : withoutTenant),
+    ...(caller.tenant !== undefined && { [names.tenant]: caller.tenant }),
     [names.timeLeft]: String(timeLeftMs),
     [names.sampler]: sampler.id,
     ...(resumeAfter !== undefined && { [names.resume]: String(resumeAfter) }),
   }),
-  passedBack: passed,
-  itemCall: (item, host, { sampler, version, partial }) => {
+  passedBack: (raw) => passed(raw, oneChannelOnly),
+  itemCall: (item, host, { sampler, version, partial, tenant }) => {
     const body = Buffer.from(item.body, 'base64');
     return {
       method: 'POST',
@@ -155,6 +180,7 @@
         [names.attempt]: item.id,
         [names.sampler]: sampler.id,
         [names.version]: String(version),
+        ...(tenant !== undefined && { [names.tenant]: tenant }),
         ...(partial && { [names.resume]: String(partial.lastId) }),
         'content-length': String(body.length),
       },
--- a/src/fleet/dialect.ts
+++ b/src/fleet/dialect.ts
@@ -23,6 +23,15 @@
   readonly attempt: string;
   readonly timeLeftMs: number;
   readonly resumeAfter: number | undefined;
+  /** The tenant's key that it carries. It is never logged and never written to a disk. */
+  readonly key?: string;
+};
+
+/** Who a request comes from, as far as its key tells. */
+export type Caller = {
+  /** True where the configuration has tenants: what callers send as their key goes to no sampler. */
+  readonly keysInUse: boolean;
+  readonly tenant?: string;
 };
 
 /** What a call of the lots' own interface wants. */
@@ -65,6 +74,7 @@
     host: string,
     binding: HostBinding,
     wall: number,
+    caller: Caller,
   ) => LotBody | ReadonlyArray<Reason>;
   readonly lotRead: (total: number, after: number, results: ReadonlyArray<LotResult>) => Reply;
   readonly lotItem: (base64: string) => Reply;
@@ -75,9 +85,10 @@
   readonly traffic: (document: unknown) => Traffic | ReadonlyArray<Reason>;
   readonly said: (fields: Readonly<Record<string, unknown>>) => string;
   readonly emptiedReply: (done: boolean) => Reply;
-  /** Headers of a caller's request as they go to a sampler. */
+  /** Headers of a caller's request as they go to a sampler: the caller's tenant by name, and no key. */
   readonly passedOn: (
     raw: ReadonlyArray<string>,
+    caller: Caller,
     sampler: Sampler,
     timeLeftMs: number,
     resumeAfter?: number,
@@ -93,6 +104,7 @@
       readonly version: number;
       readonly urgency: number;
       readonly partial: Partial | undefined;
+      readonly tenant: string | undefined;
     },
   ) => SamplerCall;
   readonly ratingCall: (item: LotItem, sampler: Sampler, timeLeftMs: number) => SamplerCall;
--- a/src/fleet/front/frontProgram.ts
+++ b/src/fleet/front/frontProgram.ts
@@ -1,25 +1,23 @@
-import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
 import { watchers } from '../watcher.js';
 import { zonesOf } from '../zonesOf.js';
 import type { FleetSettings, Member } from '../fleetTypes.js';
 import type { Program, ProgramTools } from '../program.js';
 import { makeSamplerClient } from '../samplerClient.js';
 import { serveCalls } from '../serveCalls.js';
-import { traffic } from '../traffic.js';
+import { configurationContact } from './configurationContact.js';
 import { makeDesks } from './desks.js';
 import { makeHedgeControl } from './hedgeControl.js';
 import { makeLotAsks } from './lotAsks.js';
 import { ordinaryAsks } from './ordinaryAsks.js';
 import { makeOrderLease } from './orderLease.js';
 import { makeRefusalLog } from './refusalLog.js';
+import { makeRequestRouter } from './requestRouter.js';
 import { makeSamplerDirectory } from './samplerDirectory.js';
 import { makeStoreCalls } from './storeCalls.js';
 
 const channelsMost = 24;
 const readyWaitMs = 2300;
-const newcomerMs = 1500;
-const newcomerShare = 0.4;
-const newcomerPauseMs = 20;
 const defaultBodyBytes = 32 * 1024 * 1024;
 
 /** Runs a front: it serves callers, and owns the samplers whose items it seats. */
@@ -32,7 +30,10 @@
   };
   let leaving = false;
   let inFlight = 0;
-  const ready = (): boolean => !leaving && watcher.heard() && watcher.view().followed?.traffic !== undefined;
+  const ready = (): boolean => {
+    const declared = watcher.view().followed?.traffic;
+    return !leaving && watcher.heard() && declared !== undefined && (!declared.tenants || contact.keysHold());
+  };
   const self = (): Member => ({
     name: settings.name,
     role: 'front',
@@ -64,33 +65,17 @@
   const desks = makeDesks({ ...asks, name: settings.name, channels, stores, view, lease, event: log.event });
   const lots = makeLotAsks({ stores, dialect, wall, event: log.event });
 
-  const route = (message: IncomingMessage, response: ServerResponse, body: Buffer, since: number): void => {
-    const head = dialect.ask(message.headers);
-    const url = message.url ?? '/';
-    const host = String(message.headers.host ?? '');
-    const reply = (work: Promise<Parameters<typeof ordinaryAsks.send>[1]>): void =>
-      void work.then((each) => ordinaryAsks.send(response, each, leaving));
-    const lotCall = dialect.lotCall(message.method ?? '', url, message.headers);
-    if (lotCall) return reply(lots.call(lotCall));
-    const { followed } = view();
-    if (!followed?.traffic) {
-      // A front that has just begun learns the traffic in a moment; a refusal would cost the caller a whole try.
-      if (now() - since < Math.min(newcomerMs, head.timeLeftMs * newcomerShare))
-        return void setTimeout(() => route(message, response, body, since), newcomerPauseMs);
-      refusals.note(503, 'no traffic is declared yet');
-      return ordinaryAsks.send(
-        response,
-        dialect.refusal(503, head.attempt, 500, 'no traffic is declared yet'),
-        leaving,
-      );
-    }
-    const binding = traffic.match(followed.traffic, host, url.split('?')[0]!);
-    if (!binding)
-      return ordinaryAsks.send(response, dialect.refusal(404, head.attempt, undefined, 'no such route'), leaving);
-    if (binding.kind === 'rollout') return reply(lots.hand(head, host, binding, body));
-    const serve = binding.kind === 'streaming' ? ordinaryAsks.stream : ordinaryAsks.answer;
-    serve(asks, binding, head, message, body, response, () => leaving);
-  };
+  const contact = configurationContact.make({ watcher, now, revokeMs: settings.bounds.revokeMs });
+  const route = makeRequestRouter({
+    dialect,
+    declared: () => view().followed?.traffic,
+    contact,
+    asks,
+    lots,
+    leaving: () => leaving,
+    now,
+    notServed: refusals.note,
+  });
   const server = createServer(
     { noDelay: true, maxHeaderSize: 65_536, keepAliveTimeout: 15_000 },
     (message, response) => {
@@ -111,7 +96,7 @@
       message.on('end', () => {
         if (size > most) return;
         try {
-          route(message, response, chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks), now());
+          route(message, response, chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
         } catch (cause) {
           log.event('request_failed', { url: message.url, reason: String(cause) });
           const { attempt } = dialect.ask(message.headers);
--- a/src/fleet/front/itemRun.ts
+++ b/src/fleet/front/itemRun.ts
@@ -81,7 +81,7 @@
       events.push(event.data);
     },
   });
-  const call = dialect.itemCall(item, grant.host, { ...how, partial });
+  const call = dialect.itemCall(item, grant.host, { ...how, partial, tenant: grant.tenant });
   const open = client.call(how.sampler.address, call, longestMs, {
     head: (code, message) => {
       heardAt = now();
--- a/src/fleet/front/ordinaryAsks.ts
+++ b/src/fleet/front/ordinaryAsks.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { AskHead, Dialect, Reply } from '../dialect.js';
+import type { AskHead, Caller, Dialect, Reply } from '../dialect.js';
 import type { HostBinding, Sampler } from '../fleetTypes.js';
 import type { CallEvents, SamplerClient } from '../samplerClient.js';
 import { traffic } from '../traffic.js';
@@ -19,6 +19,17 @@
   readonly notServed: (status: number, reason: string) => void;
 };
 
+/** A request that is to be served by a binding. */
+export type Ask = {
+  readonly binding: HostBinding;
+  readonly caller: Caller;
+  readonly head: AskHead;
+  readonly message: IncomingMessage;
+  readonly body: Uint8Array;
+  readonly response: ServerResponse;
+  readonly leaving: () => boolean;
+};
+
 const networkMs = 4;
 const retryAfterMs = 300;
 
@@ -35,28 +46,21 @@
 };
 
 const callOf =
-  (tools: AskTools, message: IncomingMessage, body: Uint8Array, resumeAfter?: number) =>
+  (tools: AskTools, { message, caller, body }: Ask, resumeAfter?: number) =>
   (sampler: Sampler, timeLeftMs: number) => ({
     kind: 'sampler.request',
     method: message.method ?? 'GET',
     path: message.url ?? '/',
     headers: {
-      ...tools.dialect.passedOn(message.rawHeaders, sampler, Math.max(1, Math.round(timeLeftMs)), resumeAfter),
+      ...tools.dialect.passedOn(message.rawHeaders, caller, sampler, Math.max(1, Math.round(timeLeftMs)), resumeAfter),
       'content-length': String(body.length),
     },
     body,
   });
 
 /** Serves a request with a short answer: the sampler's whole answer, a promise that it never ran, or doubt. */
-const answer = (
-  tools: AskTools,
-  binding: HostBinding,
-  head: AskHead,
-  message: IncomingMessage,
-  body: Uint8Array,
-  response: ServerResponse,
-  leaving: () => boolean,
-): void => {
+const answer = (tools: AskTools, ask: Ask): void => {
+  const { binding, head, response, leaving } = ask;
   const timeLeftMs = Math.max(1, Math.min(head.timeLeftMs - networkMs, binding.timeLeftMs));
   const work = attempts(
     tools,
@@ -67,7 +71,7 @@
       most: binding.attempts,
       aimMs: binding.aimMs,
       timeLeftMs,
-      call: callOf(tools, message, body),
+      call: callOf(tools, ask),
       allowed: () => !response.destroyed,
       retryFaults: true,
     },
@@ -90,15 +94,8 @@
 };
 
 /** Passes a stream on as it comes; one that breaks off breaks off here too, never as a clean end. */
-const stream = (
-  tools: AskTools,
-  binding: HostBinding,
-  head: AskHead,
-  message: IncomingMessage,
-  body: Uint8Array,
-  response: ServerResponse,
-  leaving: () => boolean,
-): void => {
+const stream = (tools: AskTools, ask: Ask): void => {
+  const { binding, head, response, leaving } = ask;
   const { client, directory, dialect, now } = tools;
   const deadline = now() + Math.max(1, Math.min(head.timeLeftMs - networkMs, binding.timeLeftMs));
   const tried = new Set<string>();
@@ -121,7 +118,7 @@
     const began = now();
     let passing = false;
     let notRun = false;
-    const call = callOf(tools, message, body, head.resumeAfter)(sampler, deadline - now());
+    const call = callOf(tools, ask, head.resumeAfter)(sampler, deadline - now());
     const events: CallEvents = {
       head: (status, answered) => {
         const told = dialect.samplerHead(answered.headers);
--- /dev/null
+++ b/src/fleet/front/requestRouter.ts
@@ -0,0 +1,90 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { AskHead, Caller, Dialect, LotCall, Reply } from '../dialect.js';
+import type { HostBinding, Traffic } from '../fleetTypes.js';
+import { tenantKeys } from '../tenantKeys.js';
+import { traffic } from '../traffic.js';
+import type { ConfigurationContact } from './configurationContact.js';
+import type { LotAsks } from './lotAsks.js';
+import { ordinaryAsks, type AskTools } from './ordinaryAsks.js';
+
+/** Finds out what a request wants and who sends it, and has it served or refuses it. */
+export type RequestRouter = (message: IncomingMessage, response: ServerResponse, body: Buffer) => void;
+
+type Refusal = { readonly status: number; readonly reason: string; readonly retryAfterMs?: number };
+
+const newcomerMs = 1500;
+const newcomerShare = 0.4;
+const newcomerPauseMs = 20;
+const retryAfterMs = 500;
+
+/** Makes a front's router. */
+export const makeRequestRouter = (options: {
+  readonly dialect: Dialect;
+  readonly declared: () => Traffic | undefined;
+  readonly contact: ConfigurationContact;
+  readonly asks: AskTools;
+  readonly lots: LotAsks;
+  readonly leaving: () => boolean;
+  readonly now: () => number;
+  readonly notServed: (status: number, reason: string) => void;
+}): RequestRouter => {
+  const { dialect, contact, now } = options;
+  const refuse = (response: ServerResponse, { attempt }: AskHead, refusal: Refusal): void => {
+    options.notServed(refusal.status, refusal.reason);
+    const reply = dialect.refusal(refusal.status, attempt, refusal.retryAfterMs, refusal.reason);
+    ordinaryAsks.send(response, reply, options.leaving());
+  };
+  const notSure: Refusal = { status: 503, reason: 'not sure of the newest configuration', retryAfterMs };
+  /** Callers try no more after a 401 or 404: only a front that knows the newest configuration says so. */
+  const final = (status: number, reason: string): Refusal => (contact.current() ? { status, reason } : notSure);
+  const keyRefusal = (head: AskHead, caller: Caller): Refusal | undefined => {
+    if (!caller.keysInUse) return undefined;
+    if (caller.tenant === undefined)
+      return final(401, head.key === undefined ? 'a key is needed' : 'the key is not known');
+    return contact.keysHold() ? undefined : notSure;
+  };
+  const reply = (response: ServerResponse, work: Promise<Reply>): void =>
+    void work.then((each) => ordinaryAsks.send(response, each, options.leaving()));
+
+  const serveLotCall = (declared: Traffic, call: LotCall, host: string, head: AskHead, response: ServerResponse) => {
+    const caller = tenantKeys.callerOf(declared, head.key);
+    const refusal = tenantKeys.lotsExempt(declared, host) ? undefined : keyRefusal(head, caller);
+    if (refusal) return refuse(response, head, refusal);
+    reply(response, options.lots.call(call, caller));
+  };
+  const serveByBinding = (
+    binding: HostBinding,
+    caller: Caller,
+    head: AskHead,
+    message: IncomingMessage,
+    response: ServerResponse,
+    body: Buffer,
+  ): void => {
+    if (binding.kind === 'rollout')
+      return reply(response, options.lots.hand(head, binding.host, binding, body, caller));
+    const serve = binding.kind === 'streaming' ? ordinaryAsks.stream : ordinaryAsks.answer;
+    serve(options.asks, { binding, caller, head, message, body, response, leaving: options.leaving });
+  };
+
+  const route = (message: IncomingMessage, response: ServerResponse, body: Buffer, since: number): void => {
+    const head = dialect.ask(message.headers);
+    const declared = options.declared();
+    if (!declared) {
+      // A front that has just begun learns the traffic in a moment; a refusal would cost the caller a whole try.
+      if (now() - since < Math.min(newcomerMs, head.timeLeftMs * newcomerShare))
+        return void setTimeout(() => route(message, response, body, since), newcomerPauseMs);
+      return refuse(response, head, { status: 503, reason: 'no traffic is declared yet', retryAfterMs });
+    }
+    const url = message.url ?? '/';
+    const host = String(message.headers.host ?? '');
+    const call = dialect.lotCall(message.method ?? '', url, message.headers);
+    if (call) return serveLotCall(declared, call, host, head, response);
+    const binding = traffic.match(declared, host, url.split('?')[0]!);
+    if (!binding) return refuse(response, head, final(404, 'no such route'));
+    const caller = tenantKeys.callerOf(declared, head.key);
+    const refusal = binding.authExempt === true ? undefined : keyRefusal(head, caller);
+    if (refusal) return refuse(response, head, refusal);
+    serveByBinding(binding, caller, head, message, response, body);
+  };
+  return (message, response, body) => route(message, response, body, now());
+};
--- a/src/fleet/store/lotBoard.ts
+++ b/src/fleet/store/lotBoard.ts
@@ -114,6 +114,7 @@
     return {
       lot,
       host: body.host,
+      ...(body.tenant !== undefined && { tenant: body.tenant }),
       item: seat.item,
       single: body.single,
       minVersion: body.minVersion,
--- a/src/fleet/store/storeDesk.ts
+++ b/src/fleet/store/storeDesk.ts
@@ -1,5 +1,7 @@
 import { Fault } from '../../shared/fault.js';
 import { texts } from '../../shared/texts.js';
+import type { Caller } from '../dialect.js';
+import { tenantKeys } from '../tenantKeys.js';
 import type { Advert, Grant, LotBody, LotResult, LotValue, Partial } from '../fleetTypes.js';
 import { makeLotBoard, type LotBoard } from './lotBoard.js';
 import type { Led } from './lotCopies.js';
@@ -120,19 +122,24 @@
     return led.state.body !== undefined;
   };
 
-  type Asked = { readonly lot: string; readonly force: boolean };
-  const create = async ({ lot, force, body }: Asked & { body: LotBody }): Promise<unknown> => {
+  type Asked = { readonly lot: string; readonly force: boolean; readonly caller?: Caller };
+  /** Nobody but its tenant learns of a lot or changes it. */
+  const foreign = (led: Led, caller: Caller | undefined): boolean => !tenantKeys.mayUse(led.state.body?.tenant, caller);
+  const create = async ({ lot, force, caller, body }: Asked & { body: LotBody }): Promise<unknown> => {
     const led = await options.leader().lead(lot, { force, make: true });
     if (!('state' in led)) return led;
     if (!led.state.body) await options.leader().propose(led, { kind: 'lot', body });
+    if (foreign(led, caller)) return { foreign: true };
     boardOf(led);
     return { taken: true };
   };
-  const read = async ({ lot, force, after, waitMs }: Asked & { after: number; waitMs: number }): Promise<unknown> => {
+  type AskedToRead = Asked & { readonly after: number; readonly waitMs: number };
+  const read = async ({ lot, force, caller, after, waitMs }: AskedToRead): Promise<unknown> => {
     const start = now();
     const led = await leading(lot, force);
     if (!('state' in led)) return led;
     if (!(await there(led))) return { unknown: true };
+    if (foreign(led, caller)) return { foreign: true };
     boardOf(led);
     const { results } = led.state;
     if (results.length <= after && !led.state.ended && waitMs > 0)
@@ -159,17 +166,19 @@
     }
     return { total: led.state.body!.items.length, results: some };
   };
-  const item = async ({ lot, force, id }: Asked & { id: string }): Promise<unknown> => {
+  const item = async ({ lot, force, caller, id }: Asked & { id: string }): Promise<unknown> => {
     const led = await leading(lot, force);
     if (!('state' in led)) return led;
     if (!(await there(led))) return { unknown: true };
+    if (foreign(led, caller)) return { foreign: true };
     const found = led.state.body?.items.find((each) => each.id === id);
     return found ? { body: found.body } : { unknown: true };
   };
-  const end = async ({ lot, force }: Asked): Promise<unknown> => {
+  const end = async ({ lot, force, caller }: Asked): Promise<unknown> => {
     const led = await leading(lot, force);
     if (!('state' in led)) return led;
     if (!(await there(led))) return { unknown: true };
+    if (foreign(led, caller)) return { foreign: true };
     if (!led.state.ended) await options.leader().propose(led, { kind: 'end' });
     return { ended: true };
   };
--- a/src/tests/clockRuns.ts
+++ b/src/tests/clockRuns.ts
@@ -1,4 +1,4 @@
-import type { AskHead, Dialect, Reply } from '../fleet/dialect.js';
+import type { AskHead, Caller, Dialect, LotCall, Reply } from '../fleet/dialect.js';
 import type { Advert, Grant, HostBinding, LotBody, LotResult, Member } from '../fleet/fleetTypes.js';
 import type { FleetView } from '../fleet/watcher.js';
 import { makeLotAsks } from '../fleet/front/lotAsks.js';
@@ -8,6 +8,7 @@
 import { makeStoreDesk } from '../fleet/store/storeDesk.js';
 import type { Channels } from '../edge/channels.js';
 
+const anyone = { keysInUse: false };
 const self = { name: 'store-1', disk: 'd' };
 const items = Array.from({ length: 6 }, (_, at) => ({
   id: `i${at}`,
@@ -19,8 +20,9 @@
   group: `g${at >> 1}`,
 }));
 const dialect = {
-  lotBody: (_bytes, host, _binding, wall): LotBody => ({
+  lotBody: (_bytes, host, _binding, wall, { tenant }): LotBody => ({
     host,
+    ...(tenant !== undefined && { tenant }),
     model: 'm',
     step: 1,
     minVersion: 1,
@@ -33,6 +35,7 @@
     items,
   }),
   refusal: (status, _attempt, _againMs, cause): Reply => ({ status, body: cause }),
+  lotItem: (base64): Reply => ({ status: 200, body: Buffer.from(base64, 'base64') }),
   lotRead: (total, after, results): Reply => ({ status: 200, body: JSON.stringify({ total, after, results }) }),
 } satisfies Partial<Dialect> as unknown as Dialect;
 
@@ -91,15 +94,16 @@
       desk.tick();
       void made.confirmAll();
     },
-    hand: async (lot: string): Promise<number> => {
+    hand: async (lot: string, caller: Caller = anyone): Promise<number> => {
       const head: AskHead = { attempt: lot, timeLeftMs: 5000, resumeAfter: undefined };
-      return (await lots.hand(head, 'h', binding, new Uint8Array())).status;
+      return (await lots.hand(head, 'h', binding, new Uint8Array(), caller)).status;
     },
     read: async (lot: string, after = 0, waitMs = 0): Promise<ReadonlyArray<LotResult>> => {
-      const reply = await lots.call({ kind: 'read', lot, after, waitMs });
+      const reply = await lots.call({ kind: 'read', lot, after, waitMs }, anyone);
       return (JSON.parse(String(reply.body)) as { readonly results: ReadonlyArray<LotResult> }).results;
     },
-    end: async (lot: string): Promise<number> => (await lots.call({ kind: 'end', lot })).status,
+    end: async (lot: string): Promise<number> => (await lots.call({ kind: 'end', lot }, anyone)).status,
+    call: async (call: LotCall, caller: Caller): Promise<number> => (await lots.call(call, caller)).status,
     watch: (holds: ReadonlyArray<{ lot: string; id: string; sampler: string }> = []) =>
       call<{ adverts: ReadonlyArray<Advert>; ended: ReadonlyArray<string> }>('board.watch', {
         front: 'f0',
--- a/src/tests/controlSide.test.ts
+++ b/src/tests/controlSide.test.ts
@@ -1,4 +1,4 @@
-import { afterEach, describe, expect, test } from '@jest/globals';
+import { expect, test } from '@jest/globals';
 import { Effect } from 'effect';
 import { idempotency } from '../core/idempotency.js';
 import { paxos } from '../core/paxos.js';
@@ -6,35 +6,15 @@
 import { ordinaryAsks } from '../fleet/front/ordinaryAsks.js';
 import { Disk } from '../shared/disk.js';
 import { sealedFiles } from '../shared/sealedFiles.js';
-import type { FleetDay } from '../sim/fleet/fleetDay.js';
 import type { VirtualFleet } from '../sim/fleet/virtualFleet.js';
 import type { VirtualWorld } from '../sim/fleet/virtualWorld.js';
 import { fleetRuns } from './fleetRuns.js';
+import { pairedRuns } from './pairedRuns.js';
 import { switchOff } from './switchOff.js';
 
-const { at, cutOff, losePower, rulesOf, scripted, wipe } = fleetRuns;
-const { off, back } = switchOff;
-
-/** Each mechanism of docs/control.md: one run with it, and the same run without it, to which the checkers object. */
-const pair = (
-  name: string,
-  run: () => Promise<FleetDay>,
-  without: () => void,
-  rule: string,
-  more: { readonly run?: () => Promise<FleetDay> } = {},
-): void =>
-  describe(name, () => {
-    afterEach(back);
-    test('with the mechanism, nothing is broken', async () => {
-      const day = await run();
-      expect(day.violations).toEqual([]);
-      expect(day.counts['accepted']).toBeGreaterThan(5);
-    });
-    test('without it, the checkers object', async () => {
-      without();
-      expect(rulesOf(await (more.run ?? run)())).toContain(rule);
-    });
-  });
+const { at, cutOff, losePower, scripted, wipe } = fleetRuns;
+const { pair } = pairedRuns;
+const { off } = switchOff;
 
 const cutOneCore = (world: VirtualWorld, fleet: VirtualFleet): void => {
   at(world, 1000, () => cutOff(fleet, [fleet.of('core')[2]!]));
@@ -121,8 +101,8 @@
   () => scripted(16, resets),
   () => {
     const { answer } = ordinaryAsks;
-    off(ordinaryAsks, 'answer', (tools, binding, ...rest) =>
-      answer(tools, { ...binding, kind: 'idempotent' }, ...rest),
+    off(ordinaryAsks, 'answer', (tools, ask) =>
+      answer(tools, { ...ask, binding: { ...ask.binding, kind: 'idempotent' } }),
     );
   },
   'what runs once at most runs once',
--- a/src/tests/loopbackFront.ts
+++ b/src/tests/loopbackFront.ts
@@ -14,7 +14,7 @@
 
 const dialect = {
   ...plainDialect,
-  passedOn: (raw, sampler) => ({
+  passedOn: (raw, _caller, sampler) => ({
     attempt: raw[raw.findIndex((each) => each === 'attempt') + 1] ?? '',
     expected: sampler.id,
   }),
@@ -60,7 +60,9 @@
     message.on('data', (chunk: Buffer) => chunks.push(chunk));
     message.on('end', () => {
       const head = { attempt: String(message.headers['attempt']), timeLeftMs: 60_000, resumeAfter: undefined };
-      serve(tools, binding, head, message, Buffer.concat(chunks), response, () => false);
+      const body = Buffer.concat(chunks);
+      const caller = { keysInUse: false };
+      serve(tools, { binding, caller, head, message, body, response, leaving: () => false });
     });
   });
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
