--- a/src/sim/fleet/fleetCheckers.ts
+++ b/src/sim/fleet/fleetCheckers.ts
@@ -1,3 +1,6 @@
+import { strictBounds } from '../../dev/strictBounds.js';
+import { fleetKeys } from './fleetKeys.js';
+import { keyChecker } from './keyChecker.js';
 import type { Observation } from './observations.js';
 import { virtualSampler } from './virtualSampler.js';
 
@@ -180,7 +183,18 @@
     ...departures(seen),
     ...requests(seen),
     ...batches(seen, whole),
+    ...keyChecker(
+      {
+        declared: of(seen, 'declared'),
+        asked: of(seen, 'asked'),
+        ran: of(seen, 'ran'),
+        taken: of(seen, 'batchTaken'),
+      },
+      strictBounds.revokeMs,
+    ),
   ],
   of,
+  /** Callers' requests that every configuration allows. */
+  proper: (seen: Seen): ReadonlyArray<Of<'asked'>> => of(seen, 'asked').filter(({ key }) => fleetKeys.lasts(key)),
   openBatches,
 };
--- a/src/sim/fleet/fleetClients.ts
+++ b/src/sim/fleet/fleetClients.ts
@@ -1,4 +1,6 @@
+import type { PlainDocument } from '../../dev/plainDialect.js';
 import type { Transport } from '../../shared/transport.js';
+import { fleetKeys } from './fleetKeys.js';
 import { fleetTraffic } from './fleetTraffic.js';
 import { httpCalls, type HttpAnswer, type HttpCalls } from './httpCalls.js';
 import { httpSilence } from './httpSilence.js';
@@ -45,6 +47,8 @@
   /** When trainers stop waiting for what is still open. */
   readonly until: number;
   readonly acknowledged: (address: string) => void;
+  /** The marks of the changes that operators know to be accepted; callers take their keys by them. */
+  readonly marks: string[];
 }): FleetClients => {
   const { world, fleet, saw, over } = options;
   const hosts: string[] = [];
@@ -65,9 +69,11 @@
     const [core, sentAt] = [control(), world.now()];
     const heard = await calls.call(core, 'GET', '/foxdeck/traffic', {}, '', controlMs);
     if (heard.status !== 200) return undefined;
-    const told = JSON.parse(heard.body) as { version: number; bindings: Array<{ name: string }> };
+    const told = JSON.parse(heard.body) as PlainDocument;
     const marked = told.bindings.find((each) => each.name.startsWith(markPrefix))?.name;
-    const mark = marked?.slice(markPrefix.length) ?? '';
+    const markOfKeys = fleetKeys.markOf(told.tenants);
+    const markOfBinding = marked?.slice(markPrefix.length) ?? '';
+    const mark = markOfKeys === markOfBinding ? markOfBinding : `${markOfBinding} with the keys of ${markOfKeys}`;
     saw({ kind: 'read', sentAt, at: world.now(), version: told.version, mark, core });
     return told.version;
   };
@@ -82,7 +88,8 @@
         const [core, sentAt] = [control(), world.now()];
         const { version, basedOn, mark, whole } = change;
         const document = fleetTraffic(version, mark);
-        const body = JSON.stringify(whole ? document : { version, bindings: document.bindings });
+        const { bindings, tenants } = document;
+        const body = JSON.stringify(whole ? document : { version, bindings, tenants });
         const headers = { 'if-match': String(basedOn) };
         const heard = await calls.call(core, whole ? 'PUT' : 'PATCH', '/foxdeck/traffic', headers, body, controlMs);
         const { status, body: reason } = heard;
@@ -98,6 +105,7 @@
           const { status } = await send(change, false);
           if (status === 200) {
             accepted.push(change);
+            options.marks.push(mark);
             known = Math.max(known, change.version);
           }
           if (clear(status)) return;
@@ -129,12 +137,15 @@
   const caller = (name: string): void =>
     begin(name, async (transport) => {
       const calls = httpCalls(transport);
+      const begun = options.marks.length;
       for (let number = 0; !over(); number += 1) {
         const attempt = `${name}-${number}`;
         const once = world.chance() < 0.5;
         const sentAt = world.now();
+        const key = fleetKeys.of(number, options.marks, begun);
         const headers = {
           host: once ? 'write.fleet' : 'read.fleet',
+          'foxdeck-key': key.text,
           'foxdeck-attempt': attempt,
           'foxdeck-time-left': String(requestMs - 200),
         };
@@ -149,12 +160,13 @@
         let echoed = '';
         if (heard.status === 200) echoed = (JSON.parse(heard.body) as { attempt: string }).attempt;
         const silent = heard.status === 0 && heard.body === httpSilence;
-        saw({ kind: 'asked', sentAt, at: world.now(), attempt, once, status: heard.status, echoed, silent });
+        saw({ kind: 'asked', sentAt, at: world.now(), attempt, key, once, status: heard.status, echoed, silent });
         await world.sleep(world.between(20, 120));
       }
     });
 
-  const handIn = async (calls: HttpCalls, batch: string): Promise<boolean> => {
+  const tenantOf = (trainer: string): string => (trainer.endsWith('1') ? 'north' : 'south');
+  const handIn = async (calls: HttpCalls, batch: string, tenant: string): Promise<boolean> => {
     const ids = Array.from({ length: itemsOfBatch }, (_, place) => `${batch}-${place}`);
     const items = ids.map((id, place) => ({
       id,
@@ -167,12 +179,17 @@
       rating: { id: `${id}-rating`, host: 'rate.fleet', path: '/rate', body: Buffer.from(id).toString('base64') },
     }));
     const body = JSON.stringify({ model: 'writer', step: 1, wanted: 3, minVersion: weights, items });
-    const headers = { host: 'lots.fleet', 'foxdeck-attempt': batch, 'content-type': 'application/json' };
+    const headers = {
+      host: 'lots.fleet',
+      'foxdeck-key': fleetKeys.lasting(tenant).text,
+      'foxdeck-attempt': batch,
+      'content-type': 'application/json',
+    };
     while (world.now() < options.until) {
       const at = front();
       const { status } = await calls.call(at, 'POST', '/lots', headers, body, requestMs);
       if (status === 202) {
-        saw({ kind: 'batchTaken', at: world.now(), batch, items: ids });
+        saw({ kind: 'batchTaken', at: world.now(), batch, tenant, items: ids });
         options.acknowledged(at);
         return true;
       }
@@ -183,10 +200,12 @@
   const trainer = (name: string): void =>
     begin(name, async (transport) => {
       const calls = httpCalls(transport);
+      const tenant = tenantOf(name);
+      const key = { 'foxdeck-key': fleetKeys.lasting(tenant).text };
       const read = async (batch: string, after: number): Promise<number> => {
         const sentAt = world.now();
         const path = `/foxdeck/lots/${batch}?after=${after}`;
-        const headers = { 'foxdeck-wait': String(readWaitMs) };
+        const headers = { ...key, 'foxdeck-wait': String(readWaitMs) };
         const { status, body } = await calls.call(front(), 'GET', path, headers, '', requestMs);
         if (status === 404) saw({ kind: 'batchMissing', at: world.now(), batch });
         if (status !== 200) return after;
@@ -197,7 +216,7 @@
       const end = async (batch: string): Promise<void> => {
         while (world.now() < options.until) {
           const at = front();
-          const { status } = await calls.call(at, 'DELETE', `/foxdeck/lots/${batch}`, {}, '', requestMs);
+          const { status } = await calls.call(at, 'DELETE', `/foxdeck/lots/${batch}`, key, '', requestMs);
           if (status === 200) {
             saw({ kind: 'batchEnded', at: world.now(), batch });
             return options.acknowledged(at);
@@ -207,7 +226,7 @@
       };
       for (let number = 0; !over(); number += 1) {
         const batch = `${name}-batch-${number}`;
-        if (!(await handIn(calls, batch))) return;
+        if (!(await handIn(calls, batch, tenant))) return;
         const endsEarly = world.chance() < 0.25;
         const enough = endsEarly ? Math.floor(world.chance() * itemsOfBatch) : itemsOfBatch;
         for (let after = 0; after < enough && world.now() < options.until;) {
--- a/src/sim/fleet/fleetDay.ts
+++ b/src/sim/fleet/fleetDay.ts
@@ -1,6 +1,7 @@
 import { fleetCheckers, type FleetViolation } from './fleetCheckers.js';
 import { makeFleetClients } from './fleetClients.js';
 import { makeFleetFaults, type FleetFaultKind, type FleetFaults } from './fleetFaults.js';
+import { fleetKeys } from './fleetKeys.js';
 import type { Observation } from './observations.js';
 import { startVirtualFleet, type FleetSize, type VirtualFleet } from './virtualFleet.js';
 import { makeVirtualWorld, type VirtualWorld } from './virtualWorld.js';
@@ -59,12 +60,21 @@
 ];
 
 const served = (seen: ReadonlyArray<Observation>, from: number): ReadonlyArray<FleetViolation> => {
-  const late = fleetCheckers.of(seen, 'asked').filter((each) => each.sentAt >= from);
+  const late = fleetCheckers.proper(seen).filter((each) => each.sentAt >= from);
   const good = late.filter((each) => each.status === 200).length;
   if (late.length > 0 && good >= servedLeast * late.length) return [];
   return [{ rule: 'a fleet that was healed serves again', what: `${good} of ${late.length} requests at the end` }];
 };
 
+const keysKept = (fleet: VirtualFleet): ReadonlyArray<FleetViolation> => [
+  ...fleet.machines.flatMap(({ name, disk }) =>
+    disk.holding(fleetKeys.prefix).map((path) => ({ rule: 'no key stands on a disk', what: `${name}: ${path}` })),
+  ),
+  ...fleet.lines
+    .filter((line) => line.includes(fleetKeys.prefix))
+    .map((line) => ({ rule: 'no key stands in a log', what: line.slice(0, 120) })),
+];
+
 /** Plays a day: start, work under faults, a closing fault, rest, and a read of what was acknowledged. */
 export const runFleetDay = async (options: FleetDayOptions): Promise<FleetDay> => {
   const world = makeVirtualWorld(options.seed);
@@ -81,7 +91,8 @@
     const workEnd = bootMs + (options.workMs ?? 18_000);
     const restEnd = workEnd + (options.settleMs ?? settleMs);
     let over = false;
-    const clientsOptions = { world, fleet, saw, until: restEnd - 500 };
+    const marks: string[] = [];
+    const clientsOptions = { world, fleet, saw, until: restEnd - 500, marks };
     const acknowledged = (address: string): void => waiting.faults?.acknowledged(address);
     const clients = makeFleetClients({ ...clientsOptions, over: () => over, acknowledged });
     const callers = makeFleetClients({ ...clientsOptions, over: () => world.now() > restEnd, acknowledged });
@@ -113,6 +124,7 @@
     const violations = [
       ...fleetCheckers.all(seen, true),
       ...served(seen, restEnd - servedMs),
+      ...keysKept(fleet),
       ...(final === undefined ? [{ rule: 'the newest version can be read', what: 'no core told it' }] : []),
       ...world.crashes.map(({ process, reason }) => ({ rule: 'nothing is thrown', what: `${process}: ${reason}` })),
       ...fleet.exits.map((what) => ({ rule: 'processes do not end by themselves', what })),
--- a/src/sim/fleet/observations.ts
+++ b/src/sim/fleet/observations.ts
@@ -1,3 +1,5 @@
+import type { FleetKey } from './fleetKeys.js';
+
 /** What somebody outside the fleet saw; times are virtual milliseconds. */
 export type Observation =
   /** A declaration of traffic that an operator sent, once or again, and what it was told; status 0 is silence. */
@@ -37,6 +39,9 @@
       readonly attempt: string;
       readonly sampler: string;
       readonly inTouch: boolean;
+      /** The tenant that the front named, and all headers as they came. */
+      readonly tenant: string | undefined;
+      readonly headers: string;
     }
   /** A sampler's departure was acknowledged. */
   | { readonly kind: 'departed'; readonly at: number; readonly sampler: string; readonly core: string }
@@ -46,6 +51,7 @@
       readonly sentAt: number;
       readonly at: number;
       readonly attempt: string;
+      readonly key: FleetKey;
       readonly once: boolean;
       /** No answer came, and the connection stayed open. */
       readonly silent: boolean;
@@ -62,7 +68,13 @@
       readonly status: number;
       readonly echoed: string;
     }
-  | { readonly kind: 'batchTaken'; readonly at: number; readonly batch: string; readonly items: ReadonlyArray<string> }
+  | {
+      readonly kind: 'batchTaken';
+      readonly at: number;
+      readonly batch: string;
+      readonly tenant: string;
+      readonly items: ReadonlyArray<string>;
+    }
   | { readonly kind: 'batchEnded'; readonly at: number; readonly batch: string }
   /** Results of a batch from a position on. */
   | {
--- a/src/sim/fleet/virtualFiles.ts
+++ b/src/sim/fleet/virtualFiles.ts
@@ -20,6 +20,8 @@
   /** Bytes of all files. */
   readonly size: () => number;
   readonly files: () => number;
+  /** The files that hold a text. */
+  readonly holding: (text: string) => ReadonlyArray<string>;
 };
 
 const pollMs = 20;
@@ -138,6 +140,8 @@
     trouble,
     size: () => [...names.values()].reduce((sum, inode) => sum + inode.length, 0),
     files: () => names.size,
+    holding: (text) =>
+      [...names].filter(([, inode]) => inode.store.subarray(0, inode.length).includes(text)).map(([path]) => path),
     wipe: () => {
       names = new Map();
       lastingNames = new Map();
--- a/src/sim/fleet/virtualFleet.ts
+++ b/src/sim/fleet/virtualFleet.ts
@@ -4,7 +4,7 @@
 import { brands } from '../../shared/brands.js';
 import { memoryLog } from '../../shared/memoryLog.js';
 import { plainDialect } from '../../dev/plainDialect.js';
-import { standInBounds } from '../../dev/standInBounds.js';
+import { strictBounds } from '../../dev/strictBounds.js';
 import type { Observation } from './observations.js';
 import { makeVirtualDisk, type VirtualDisk } from './virtualFiles.js';
 import { makeVirtualNetwork, type VirtualNetwork } from './virtualNetwork.js';
@@ -99,7 +99,7 @@
     firstStart,
     tolerance: size.tolerance,
     beatMs,
-    bounds: standInBounds,
+    bounds: strictBounds,
   });
 
   const add = (role: Role, firstStart = false): VirtualMachine => {
--- a/src/sim/fleet/virtualSampler.ts
+++ b/src/sim/fleet/virtualSampler.ts
@@ -63,7 +63,16 @@
 
   const ran = (attempt: string, message: IncomingMessage): void => {
     const front = (message.socket as unknown as { readonly peerHost: string }).peerHost;
-    saw({ kind: 'ran', at: world.now(), attempt, sampler: id, inTouch: options.inTouch(front) });
+    const tenant = message.headers['foxdeck-tenant'];
+    saw({
+      kind: 'ran',
+      at: world.now(),
+      attempt,
+      sampler: id,
+      inTouch: options.inTouch(front),
+      tenant: tenant === undefined ? undefined : String(tenant),
+      headers: message.rawHeaders.join(' '),
+    });
   };
   const turnAway = (response: ServerResponse, status: number, attempt: string): void => {
     response.writeHead(status, { 'foxdeck-attempt': attempt, 'foxdeck-not-run': '1', 'content-length': '0' });
--- a/src/soak/changeProber.ts
+++ b/src/soak/changeProber.ts
@@ -1,4 +1,5 @@
 import type { Observation } from '../sim/fleet/observations.js';
+import { fleetKeys } from '../sim/fleet/fleetKeys.js';
 import { httpCalls } from '../sim/fleet/httpCalls.js';
 import { realEdge } from '../fleet/realEdge.js';
 import type { RealWorld } from './realWorld.js';
@@ -43,7 +44,8 @@
   const calls = httpCalls(realEdge('prober').transport);
   const probe = async (change: Declared): Promise<void> => {
     const sentAt = world.now();
-    const headers = { host: `mark-${change.mark}.fleet`, 'foxdeck-attempt': `probe-${change.mark}` };
+    const key = { 'foxdeck-key': fleetKeys.lasting('north').text };
+    const headers = { ...key, host: `mark-${change.mark}.fleet`, 'foxdeck-attempt': `probe-${change.mark}` };
     const front = world.pick(fleet.runningFronts());
     const { status } = await calls.call(front, 'GET', '/thing', headers, '', readMs);
     if (status !== 404 || !inTouch()) return;
--- a/src/soak/soakChecks.ts
+++ b/src/soak/soakChecks.ts
@@ -40,7 +40,7 @@
 type Asked = Extract<Observation, { kind: 'asked' }>;
 const askedFrom = (seen: ReadonlyArray<Observation>, from: number): ReadonlyArray<Asked> =>
   fleetCheckers
-    .of(seen, 'asked')
+    .proper(seen)
     .filter((each) => each.sentAt >= from)
     .sort((one, other) => one.sentAt - other.sentAt);
 const servedOf = (asked: ReadonlyArray<Asked>): number => asked.filter((each) => each.status === 200).length;
@@ -99,7 +99,7 @@
 };
 
 const counts = (seen: ReadonlyArray<Observation>, history: ReadonlyArray<string>): Record<string, number> => {
-  const asked = fleetCheckers.of(seen, 'asked');
+  const asked = fleetCheckers.proper(seen);
   return {
     requests: asked.length,
     served: servedOf(asked),
--- a/src/soak/soakClients.ts
+++ b/src/soak/soakClients.ts
@@ -1,4 +1,5 @@
 import type { Observation } from '../sim/fleet/observations.js';
+import { fleetKeys } from '../sim/fleet/fleetKeys.js';
 import { httpCalls } from '../sim/fleet/httpCalls.js';
 import { realEdge } from '../fleet/realEdge.js';
 import type { RealWorld } from './realWorld.js';
@@ -12,7 +13,13 @@
   readonly quitter: (name: string) => void;
 };
 
-type Taken = { readonly at: number; readonly items: ReadonlyArray<string>; read: number; ended: boolean };
+type Taken = {
+  readonly at: number;
+  readonly tenant: string;
+  readonly items: ReadonlyArray<string>;
+  read: number;
+  ended: boolean;
+};
 
 const readMs = 3000;
 const waitMs = 400;
@@ -35,7 +42,10 @@
   const lookAgain = (): void => {
     for (; place < seen.length; place += 1) {
       const each = seen[place]!;
-      if (each.kind === 'batchTaken') taken.set(each.batch, { at: each.at, items: each.items, read: 0, ended: false });
+      if (each.kind === 'batchTaken') {
+        const { at, tenant, items } = each;
+        taken.set(each.batch, { at, tenant, items, read: 0, ended: false });
+      }
       if (each.kind === 'batchEnded' && taken.has(each.batch)) taken.get(each.batch)!.ended = true;
       if (each.kind === 'results' && taken.has(each.batch)) {
         const known = taken.get(each.batch)!;
@@ -48,23 +58,24 @@
   return {
     reader: () => {
       const calls = httpCalls(realEdge('reader').transport);
-      const read = async (front: string, batch: string, after: number): Promise<void> => {
+      const keyOf = ({ tenant }: Taken) => ({ 'foxdeck-key': fleetKeys.lasting(tenant).text });
+      const read = async (front: string, batch: string, known: Taken, after: number): Promise<void> => {
         const sentAt = world.now();
         const path = `/foxdeck/lots/${batch}?after=${after}`;
-        const headers = { 'foxdeck-wait': String(waitMs) };
+        const headers = { ...keyOf(known), 'foxdeck-wait': String(waitMs) };
         const { status, body } = await calls.call(front, 'GET', path, headers, '', readMs);
         if (status === 404) saw({ kind: 'batchMissing', at: world.now(), batch });
         if (status !== 200) return;
         const { results } = JSON.parse(body) as Extract<Observation, { kind: 'results' }>;
         saw({ kind: 'results', sentAt, at: world.now(), batch, after, results });
       };
-      const body = async (front: string, batch: string, { items, ended }: Taken): Promise<void> => {
-        const path = `/foxdeck/items/${batch}?id=${world.pick(items)}`;
-        const { status } = await calls.call(front, 'GET', path, {}, '', readMs);
-        if (status === 404 && !ended) saw({ kind: 'batchMissing', at: world.now(), batch });
+      const body = async (front: string, batch: string, known: Taken): Promise<void> => {
+        const path = `/foxdeck/items/${batch}?id=${world.pick(known.items)}`;
+        const { status } = await calls.call(front, 'GET', path, keyOf(known), '', readMs);
+        if (status === 404 && !known.ended) saw({ kind: 'batchMissing', at: world.now(), batch });
       };
-      const endAgain = async (front: string, batch: string): Promise<void> => {
-        const { status } = await calls.call(front, 'DELETE', `/foxdeck/lots/${batch}`, {}, '', readMs);
+      const endAgain = async (front: string, batch: string, known: Taken): Promise<void> => {
+        const { status } = await calls.call(front, 'DELETE', `/foxdeck/lots/${batch}`, keyOf(known), '', readMs);
         if (status === 404) saw({ kind: 'batchMissing', at: world.now(), batch });
       };
       const run = async (): Promise<void> => {
@@ -75,9 +86,9 @@
           const [batch, known] = world.pick([...taken]);
           const front = world.pick(fronts());
           const after = world.chance() < 0.5 ? 0 : Math.floor(world.chance() * (known.read + 1));
-          await read(front, batch, after);
+          await read(front, batch, known, after);
           if (world.chance() < bodyShare) await body(front, batch, known);
-          if (known.ended && world.chance() < endAgainShare) await endAgain(front, batch);
+          if (known.ended && world.chance() < endAgainShare) await endAgain(front, batch, known);
         }
       };
       void run();
@@ -89,7 +100,8 @@
           await world.sleep(world.between(20, 150));
           const attempt = `${name}-${number}`;
           const once = world.chance() < 0.5;
-          const headers = { host: once ? 'write.fleet' : 'read.fleet', 'foxdeck-attempt': attempt };
+          const key = { 'foxdeck-key': fleetKeys.lasting('south').text };
+          const headers = { ...key, host: once ? 'write.fleet' : 'read.fleet', 'foxdeck-attempt': attempt };
           const sentAt = world.now();
           const [method, sent] = once ? ['POST', attempt] : ['GET', ''];
           const leftMs = world.between(1, 40);
--- a/src/soak/soakFleet.ts
+++ b/src/soak/soakFleet.ts
@@ -7,7 +7,7 @@
 import { realEdge } from '../fleet/realEdge.js';
 import { makeSocketTracker, type SocketTracker } from './socketTracker.js';
 import { freePorts } from '../dev/freePorts.js';
-import { standInBounds } from '../dev/standInBounds.js';
+import { strictBounds } from '../dev/strictBounds.js';
 import type { PlantedFault } from './nodeFaults.js';
 import type { RealWorld } from './realWorld.js';
 import { makeSoakMachine, type MachineEvents, type SoakMachine } from './soakMachine.js';
@@ -105,7 +105,7 @@
       firstStart,
       tolerance: size.tolerance,
       beatMs,
-      bounds: { ...standInBounds, ...sabotage.bounds },
+      bounds: { ...strictBounds, ...sabotage.bounds },
       ...(planted && { planted }),
     };
     const apart = sabotage.coresApart === true && role === 'core';
--- a/src/soak/soakMachine.ts
+++ b/src/soak/soakMachine.ts
@@ -128,6 +128,7 @@
     losePower: () => undefined,
     wipe: () => void (emptied = true),
     corrupt: () => undefined,
+    holding: () => [],
     trouble: {
       get slowBy() {
         return state.slowBy;
--- a/src/soak/soakRun.ts
+++ b/src/soak/soakRun.ts
@@ -78,7 +78,7 @@
   const { run, workOver, allOver } = options;
   const { world, fleet, saw } = run;
   const acknowledged = (address: string): void => run.faults()?.acknowledged(address);
-  const given = { world, fleet, saw, until: options.until, acknowledged };
+  const given = { world, fleet, saw, until: options.until, acknowledged, marks: [] };
   const working = makeFleetClients({ ...given, over: workOver });
   const asking = makeFleetClients({ ...given, over: allOver });
   const extra = makeSoakClients({
