--- a/src/fleet/front/ratings.ts
+++ b/src/fleet/front/ratings.ts
@@ -85,7 +85,7 @@
       const call = (asked: Rating, limited: LimitedCall): void => {
         const binding = bindingOf(asked);
         if (!binding || !options.leased(grant.lot)) {
-          limited.ended();
+          limited.ended('unanswered');
           return wait();
         }
         const work = attempts(
@@ -104,7 +104,7 @@
           },
           (outcome) => {
             if (!over && foundNoRoom(outcome)) limited.overloaded();
-            limited.ended();
+            limited.ended(outcome.kind === 'answered' ? 'answered' : 'unanswered');
             if (over) return;
             if (outcome.kind === 'answered' && outcome.status < 300 && outcome.head.stamp !== '')
               return finish({ ...whole, rating: outcome.head.stamp });
