--- a/src/tests/soak.test.ts
+++ b/src/tests/soak.test.ts
@@ -62,7 +62,6 @@
 
 describe('the checkers of a soak notice', () => {
   const short = { workMs: 6000, restMs: 2000 };
-  const afterwards = enoughBatches;
   test.each<[string, Times, SoakSabotage, RegExp, ((seen: Seen) => boolean)?]>([
     [
       'an ended batch that is forgotten early',
@@ -75,7 +74,7 @@
       { workMs: 6000, restMs: 12_000 },
       { planted: 'forgetsWrites', onlyRole: 'store' },
       /a batch that was taken is there/,
-      afterwards,
+      enoughBatches,
     ],
     [
       'an end that takes back results',
@@ -95,7 +94,7 @@
       { workMs: 22_000, restMs: 1000, meanFaultMs: calmMeanMs },
       { planted: 'leaksMemory', onlyRole: 'store' },
       /no process grows without end/,
-      afterwards,
+      enoughBatches,
     ],
   ])('%s', async (_, times, sabotage, finding, workUntil = broken(finding)) => {
     const { findings } = await soak(11, times, sabotage, workUntil);
