--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -31,7 +31,7 @@
     record(`the sampler in trouble spoils its answer to ${ask.attempt}: ${spoilt.subarray(0, 15).toString()}`);
     return spoilt;
   };
-  const common = { host: `${fleet.net}.100`, controls: fleet.controls, record: () => undefined };
+  const common = { host: `${fleet.net}.100`, controls: fleet.controls, record };
   const sound = [
     await startSampler({ ...common, service: 'records', zone: 'nyarugenge', slots: 16, work }),
     await startSampler({ ...common, service: 'records', zone: 'gasabo', slots: 16, work }),
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -18,7 +18,7 @@
       reply(200, { 'Foxdeck-Server-Stamp': stamp }, `answer ${stamp}`);
       done('answered');
     }, workMs * (0.8 + 0.4 * Math.random()));
-  const common = { host: `${fleet.net}.100`, controls: fleet.controls, record: () => undefined, service: 'scores', slots: 12, queue: 36, work };
+  const common = { host: `${fleet.net}.100`, controls: fleet.controls, record, service: 'scores', slots: 12, queue: 36, work };
   const samplers = [await startSampler({ ...common, zone: 'nyarugenge' }), await startSampler({ ...common, zone: 'gasabo' })];
   for (const sampler of samplers) closing.push(sampler.close);
   const [leaves] = samplers;
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -21,7 +21,7 @@
       reply(200, { 'Foxdeck-Server-Stamp': stamp }, `answer ${stamp}`);
       done('answered');
     }, 25);
-  const common = { host: `${fleet.net}.100`, controls: fleet.controls, record: () => undefined, service: 'app', slots: 6, work };
+  const common = { host: `${fleet.net}.100`, controls: fleet.controls, record, service: 'app', slots: 6, work };
   const stays = await startSampler({ ...common, zone: 'gasabo' });
   const leaves = await startSampler({ ...common, zone: 'nyarugenge' });
   closing.push(stays.close, leaves.close);
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -101,6 +101,10 @@
   const seeds = machines.filter((machine) => machine.role === 'core').slice(0, 3).map((machine) => `${machine.ip}:${ports.control}`);
   const ended = [];
   let stopping = false;
+  // Whatever ends the script, no process of it stays.
+  process.once('exit', () => {
+    for (const { child } of machines) child?.kill('SIGKILL');
+  });
 
   const settingsOf = (machine, first) => {
     const listen =
