--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -78,7 +78,7 @@
     sent.end(bytes);
   });
 
-export const startDeployment = async ({ fronts = 2, cores = 3, stores = 3, record, restartMs = 700 }) => {
+export const startDeployment = async ({ fronts = 2, cores = 3, stores = 3, record, restartMs = 700, moreBounds = {} }) => {
   if (!existsSync(join(root, 'target/foxdeck.cjs'))) {
     record('target/foxdeck.cjs is missing: run the build of the deploy file first');
     process.exit(2);
@@ -124,7 +124,7 @@
     const tables = {
       zones: Object.fromEntries(zones.map((zone) => [zone, 'kigali'])),
       listenAddresses: listen, limits: limitsOf[machine.role],
-      faultTolerance: { machines: 1, zones: 0, regions: 0 }, bounds,
+      faultTolerance: { machines: 1, zones: 0, regions: 0 }, bounds: { ...bounds, ...moreBounds },
     };
     const lines = (table) => Object.entries(table).map(([name, value]) => `${name} = ${toml(value)}`);
     return [...lines(top), ...Object.entries(tables).flatMap(([name, table]) => [`[${name}]`, ...lines(table)])].join('\n');
