--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -7,10 +7,10 @@
 import { startSampler } from '../lib/sampler.mjs';
 
 const folder = dirname(fileURLToPath(import.meta.url));
-const playS = 60;
-/** The dose of the site's `garble`, `extra late`: x 0.03 of the answers come a second time, here at half of the samplers. */
+const [calmS, troubleS] = [3, 5];
+/** The dose of the site's `garble`, `extra late`: x 0.03 of the answers in 5 s come a second time, here at half of the samplers. */
 const surplusOneIn = 34;
-const [events, gapMs] = [4, 30];
+const [events, gapMs] = [2, 15];
 
 await runCase(folder, async ({ record, trouble, closing }) => {
   const fleet = await startDeployment({ record });
@@ -42,11 +42,12 @@
   };
   const samplers = [
     await startSampler({ ...common, zone: 'nyarugenge', slots: 4, before }),
-    await startSampler({ ...common, zone: 'gasabo', slots: 6 }),
+    await startSampler({ ...common, zone: 'gasabo', slots: 9 }),
   ];
+  let until = 0;
   if (trouble)
     samplers[0].answered = (socket, ask, status, bytes, nth) => {
-      if (nth % surplusOneIn === 0) socket.surplus = { attempt: ask.attempt, bytes };
+      if (Date.now() < until && nth % surplusOneIn === 0) socket.surplus = { attempt: ask.attempt, bytes };
     };
   for (const sampler of samplers) closing.push(sampler.close);
   const route = {
@@ -87,11 +88,14 @@
   const client = async (front) => {
     while (going) {
       await ask(front);
-      await pause(40 + Math.random() * 60);
+      await pause(5 + Math.random() * 20);
     }
   };
-  const clients = Array.from({ length: 16 }, (_, place) => client(fronts[place % fronts.length]));
-  await pause(playS * 1000);
+  const clients = Array.from({ length: 28 }, (_, place) => client(fronts[place % fronts.length]));
+  await pause(calmS * 1000);
+  until = Date.now() + troubleS * 1000;
+  if (trouble) record('the trouble begins; it lasts 5 s');
+  await pause((troubleS + calmS) * 1000);
   going = false;
   await Promise.all(clients);
   await pause(500);
