--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -7,8 +7,8 @@
 import { startSampler } from '../lib/sampler.mjs';
 
 const folder = dirname(fileURLToPath(import.meta.url));
-const playS = 12;
-/** The dose of `garble`: half of the samplers of a service, one answer in fifty. */
+const [calmS, troubleS] = [3, 5];
+/** The dose of `garble`: for 5 s, half of the samplers of a service, one answer in fifty. */
 const spoiltOneIn = 50;
 
 await runCase(folder, async ({ record, trouble, closing }) => {
@@ -24,8 +24,9 @@
       reply(200, { 'Foxdeck-Server-Stamp': stamp }, `answer ${stamp}`);
       done('answered');
     }, 20);
+  let until = 0;
   const spoil = (bytes, ask, status, answers) => {
-    if (!trouble || answers % spoiltOneIn !== 0 || status !== 200) return bytes;
+    if (!trouble || Date.now() > until || answers % spoiltOneIn !== 0 || status !== 200) return bytes;
     const spoilt = Buffer.from(bytes);
     spoilt[9] ^= 2; // "HTTP/1.1 200" becomes "HTTP/1.1 000": bytes that are no answer
     record(`the sampler in trouble spoils its answer to ${ask.attempt}: ${spoilt.subarray(0, 15).toString()}`);
@@ -95,9 +96,12 @@
   };
   const clients = [
     ...Array.from({ length: 12 }, () => client('/records/1', 10)),
-    ...Array.from({ length: 2 }, () => client('/cards/1', 30)),
+    ...Array.from({ length: 4 }, () => client('/cards/1', 30)),
   ];
-  await pause(playS * 1000);
+  await pause(calmS * 1000);
+  until = Date.now() + troubleS * 1000;
+  if (trouble) record('the trouble begins; it lasts 5 s');
+  await pause((troubleS + calmS) * 1000);
   going = false;
   await Promise.all(clients);
 
