--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -7,17 +7,17 @@
 import { askStream, streamWork } from '../lib/streams.mjs';
 
 const folder = dirname(fileURLToPath(import.meta.url));
-const playS = 20;
-/** The dose of `garble`: half of the samplers of a service, one answer in fifty. */
+const [calmS, troubleS] = [3, 5];
+/** The dose of `garble`: for 5 s, half of the samplers of a service, one answer in fifty. */
 const spoiltOneIn = 50;
 
 await runCase(folder, async ({ record, trouble, closing }) => {
   const fleet = await startDeployment({ record });
   closing.push(fleet.stop);
-  let heads = 0;
+  let [heads, until] = [0, 0];
   const spoil = (text, ask) => {
     heads += 1;
-    if (!trouble || heads % spoiltOneIn !== 0) return text;
+    if (!trouble || Date.now() > until || heads % spoiltOneIn !== 0) return text;
     record(`the sampler in trouble spoils a bit in the head of its answer to ${ask.attempt}`);
     return text.replace('Foxdeck-Server-Stamp', 'Foxdeck-Server-Stamq');
   };
@@ -48,8 +48,11 @@
       await pause(60);
     }
   };
-  const clients = Array.from({ length: 6 }, (_, place) => client(fronts[place % fronts.length]));
-  await pause(playS * 1000);
+  const clients = Array.from({ length: 16 }, (_, place) => client(fronts[place % fronts.length]));
+  await pause(calmS * 1000);
+  until = Date.now() + troubleS * 1000;
+  if (trouble) record('the trouble begins; it lasts 5 s');
+  await pause((troubleS + calmS) * 1000);
   going = false;
   await Promise.all(clients);
 
