An answer's id is compared before its promise: surplus answers refuse no request

Cause: `stream` read the promise "not executed" from an answer's head and returned on it before it compared the answer's attempt id with the request's. Items (`itemRun`) excused a foreign id in the same way where the answer promised, and orders of weights took the status of any answer for their own. `attempts` compared the id first and was not affected.

Change: `samplerAnswer.kindOf` reads a head as own, not run or foreign, the id first, and serves requests, streams, items, ratings (through `attempts`) and orders alike. After a foreign answer the connection is given up; a request that can't be repeated is in doubt (504), a stream that can be taken up goes to another sampler, an item is cut, an order counts as unanswered.

Ruled out: the connection pool handing a connection with unread bytes on (bytes on an idle connection end it; here they come after the next request was sent).

--- a/src/fleet/front/attempts.ts
+++ b/src/fleet/front/attempts.ts
@@ -2,6 +2,7 @@
 import type { Sampler } from '../fleetTypes.js';
 import type { CallEvents, SamplerClient } from '../samplerClient.js';
 import type { HedgeControl } from './hedgeControl.js';
+import { samplerAnswer, type AnswerKind } from './samplerAnswer.js';
 import type { SamplerDirectory } from './samplerDirectory.js';
 import { retryBackoffMs } from '../../policy/retryBackoff.js';
 
@@ -113,6 +114,7 @@
     const began = now();
     const chunks: Buffer[] = [];
     let head: SamplerHead | undefined;
+    let answerKind: AnswerKind = 'foreign';
     let status = 0;
     let raw: ReadonlyArray<string> = [];
     directory.began(sampler.id);
@@ -130,15 +132,15 @@
         status = seen;
         raw = message.rawHeaders;
         head = dialect.samplerHead(message.headers);
-        // An answer to something else: its connection is out of step and goes.
-        if (head.attempt !== rules.attempt) {
-          open.get(place)?.abort();
-          failed('an answer of another request', true, 0);
-        }
+        answerKind = samplerAnswer.kindOf(rules.attempt, head);
+        if (answerKind !== 'foreign') return;
+        // Its connection is out of step and goes.
+        open.get(place)?.abort();
+        failed(samplerAnswer.foreignReason, true, 0);
       },
       data: (chunk) => void chunks.push(chunk as Buffer),
       ended: () => {
-        if (head!.notRun) {
+        if (answerKind === 'notRun') {
           sends -= 1;
           rules.turnedAway?.();
           return failed(`turned away with ${status}`, false, status === 421 ? awayMs : fullMs);
--- a/src/fleet/front/itemRun.ts
+++ b/src/fleet/front/itemRun.ts
@@ -2,6 +2,7 @@
 import type { Dialect } from '../dialect.js';
 import type { Grant, Partial, Sampler } from '../fleetTypes.js';
 import type { SamplerClient } from '../samplerClient.js';
+import { samplerAnswer } from './samplerAnswer.js';
 
 /** How one run of an item ended. */
 export type RunEnd =
@@ -87,8 +88,9 @@
       heardAt = now();
       status = code;
       const head = dialect.samplerHead(message.headers);
-      notRun = head.notRun;
-      if (head.attempt !== item.id && !notRun) return spoilt('an answer of another request');
+      const kind = samplerAnswer.kindOf(item.id, head);
+      if (kind === 'foreign') return spoilt(samplerAnswer.foreignReason);
+      notRun = kind === 'notRun';
       if (code !== 200) return;
       message.setEncoding('utf8');
       version = head.versions.at(-1) ?? how.version;
--- a/src/fleet/front/ordinaryAsks.ts
+++ b/src/fleet/front/ordinaryAsks.ts
@@ -5,6 +5,7 @@
 import { traffic } from '../traffic.js';
 import { attempts } from './attempts.js';
 import type { HedgeControl } from './hedgeControl.js';
+import { samplerAnswer } from './samplerAnswer.js';
 import type { SamplerDirectory } from './samplerDirectory.js';
 
 /** What the serving of requests needs of its front. */
@@ -121,15 +122,15 @@
     const call = callOf(tools, ask, head.resumeAfter)(sampler, deadline - now());
     const events: CallEvents = {
       head: (status, answered) => {
-        const told = dialect.samplerHead(answered.headers);
-        notRun = told.notRun;
-        if (notRun) return;
-        if (told.attempt !== head.attempt) {
+        const kind = samplerAnswer.kindOf(head.attempt, dialect.samplerHead(answered.headers));
+        if (kind === 'foreign') {
           open?.abort();
           directory.ended(sampler.id, undefined, 0);
           doubtful = true;
-          return refuse('an answer of another request');
+          return binding.resumable ? next() : refuse(samplerAnswer.foreignReason);
         }
+        notRun = kind === 'notRun';
+        if (notRun) return;
         passing = true;
         response.writeHead(status, {
           ...dialect.passedBack(answered.rawHeaders),
--- a/src/fleet/front/weightLoads.ts
+++ b/src/fleet/front/weightLoads.ts
@@ -6,6 +6,7 @@
 import type { FleetView } from '../watcher.js';
 import type { SamplerClient } from '../samplerClient.js';
 import type { OrderLease } from './orderLease.js';
+import { samplerAnswer } from './samplerAnswer.js';
 
 /** Loads of weights at the samplers that a front owns, as far as waiting work wants them. */
 export type WeightLoads = {
@@ -29,6 +30,8 @@
 };
 
 const orderMs = 1000;
+/** Orders carry no id, and so do their answers. */
+const orderAttempt = '';
 const permitMs = 500;
 const deniedMs = 150;
 const busyMs = 80;
@@ -105,8 +108,15 @@
       if (status === 421) options.outlived(sampler.id);
       over(sampler.id, entry, status === 0 || status === 421 ? awayMs : busyMs);
     };
-    options.client.call(sampler.address, call, orderMs, {
-      head: (seen) => (status = seen),
+    const open = options.client.call(sampler.address, call, orderMs, {
+      head: (seen, { headers }) => {
+        if (samplerAnswer.kindOf(orderAttempt, options.dialect.samplerHead(headers)) !== 'foreign') {
+          status = seen;
+          return;
+        }
+        open.abort();
+        done(samplerAnswer.foreignReason, true);
+      },
       data: () => undefined,
       ended: () => done('', true),
       failed: (reason, sent) => done(reason, sent),
--- a/src/tests/orders.test.ts
+++ b/src/tests/orders.test.ts
@@ -1,3 +1,4 @@
+import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
 import { afterEach, beforeEach, describe, expect, jest, test } from '@jest/globals';
 import fc from 'fast-check';
 import type { Channels } from '../edge/channels.js';
@@ -172,13 +173,18 @@
   const wish = { model: 'm', version: 2, items: 1, leftMs: 5000, runMs: 100, samplers: 6, models: 3 };
   const make = (permit: () => unknown = () => ({ granted: true })) => {
     const state = { lease: { fence: 7, until: Infinity } as { fence: number; until: number } | undefined, leases: 0 };
-    const sent: Array<{ readonly order: unknown; readonly events: CallEvents }> = [];
+    const sent: Array<{
+      readonly order: unknown;
+      readonly events: CallEvents;
+      readonly aborted: () => boolean;
+    }> = [];
     const told: string[] = [];
     const [outlived, done]: [string[], unknown[]] = [[], []];
     const client: SamplerClient = {
       call: (_address, { body }, _timeLeftMs, events) => {
-        sent.push({ order: JSON.parse(Buffer.from(body).toString()), events });
-        return { abort: () => undefined };
+        let aborted = false;
+        sent.push({ order: JSON.parse(Buffer.from(body).toString()), events, aborted: () => aborted });
+        return { abort: () => void (aborted = true) };
       },
       idle: () => true,
       forget: () => undefined,
@@ -207,11 +213,11 @@
       outlived: (sampler) => void outlived.push(sampler),
       event: () => undefined,
     });
-    const answer = (status: number | undefined): void => {
-      const { events } = sent.at(-1)!;
+    const answer = (status: number | undefined, headers: IncomingHttpHeaders = {}): void => {
+      const { events, aborted } = sent.at(-1)!;
       if (status === undefined) return events.failed('no answer in time', true, false);
-      events.head(status, undefined as never);
-      events.ended();
+      events.head(status, { headers } as IncomingMessage);
+      if (!aborted()) events.ended();
     };
     const ask = async (more: Partial<typeof wish> = {}): Promise<number> => {
       loads.wish(sampler, { ...wish, ...more });
@@ -266,6 +272,15 @@
     jest.advanceTimersByTime(100);
     expect(await ask()).toBe(4);
   });
+  test.each([202, 409, 421, 503])('take the %i of another request for silence, not for an answer', async (status) => {
+    const { ask, answer, sent, loads, done, outlived } = make();
+    await ask();
+    answer(status, { attempt: 'another' });
+    expect(sent[0]!.aborted()).toBe(true);
+    // It may have been taken: the next item tells.
+    expect(loads.coming('s1', 'm')).toBe(2);
+    expect([done, outlived]).toEqual([[], []]);
+  });
   test('give their permit back where another life answers, and that life is told to be over', async () => {
     const { ask, answer, outlived, done } = make();
     await ask();
