A sampler's status is checked before it is used; an error in a call's events ends the call

Cause: the parser lets any three digits pass as a status. The front gave it to `writeHead`, which throws below 100 and above 999, within an event of the sampler's connection, where nothing catches it. Any error thrown by a reader of answers (requests, streams, items, ratings, orders) would have ended the process in the same way.

Change: the client of samplers takes a final status only, 200 to 599; anything else is no answer, the call fails and its connection goes. An answer of 101 is no answer either: before, its call heard nothing until its time was over. What a listener throws ends its call, with the event `call_handler_failed`, and not the process.

--- a/src/fleet/front/frontProgram.ts
+++ b/src/fleet/front/frontProgram.ts
@@ -55,7 +55,9 @@
   });
   const view = watcher.view;
   metrics.resolveZones(zonesOf(view));
-  const client = makeSamplerClient(channelsMost, now, transport.connect, metrics);
+  const client = makeSamplerClient(channelsMost, now, transport.connect, metrics, (cause) =>
+    log.event('call_handler_failed', { reason: String(cause) }),
+  );
   const directory = makeSamplerDirectory({ view, zone: settings.zone, now, chance: Math.random, idle: client.idle });
   const stores = makeStoreCalls({ channels, view, now });
   const refusals = makeRefusalLog({ samplers: () => view().samplers.values(), event: log.event });
--- a/src/fleet/samplerClient.ts
+++ b/src/fleet/samplerClient.ts
@@ -62,6 +62,10 @@
   path.length +
   statusLineBytes;
 const lateReason = 'no answer in time';
+/** Final statuses (RFC 9110, 15); whatever else the parser lets pass is no answer, and can't be passed on. */
+const finalStatus = { least: 200, most: 599 };
+const isFinal = (status: number | undefined): status is number =>
+  status !== undefined && status >= finalStatus.least && status <= finalStatus.most;
 
 type Warning = { readonly at: number; readonly idleMs: number };
 
@@ -71,6 +75,8 @@
   now: () => number = () => performance.now(),
   connect?: (address: string) => Connection,
   metrics?: Pick<CallMetrics, 'observe' | 'connected'>,
+  /** Hears of errors that were thrown by those who are told of a call. */
+  threw: (cause: unknown) => void = () => undefined,
 ): SamplerClient => {
   const idleSince = new WeakMap<Socket, number>();
   /** The shortest idle time after which an address had forgotten a connection, of late. */
@@ -129,6 +135,15 @@
         metrics?.observe({ address, call: kind, sentBytes, receivedBytes });
         return true;
       };
+      /** Nothing catches an error that is thrown in a connection's event: here it ends the call, not the process. */
+      const guarded = (work: () => void): void => {
+        try {
+          work();
+        } catch (cause) {
+          threw(cause);
+          fail(`an error of this process: ${String(cause)}`);
+        }
+      };
       const asked = {
         ...hostPort(address),
         method,
@@ -144,14 +159,18 @@
       } catch (cause) {
         clearTimeout(timer);
         setImmediate(() => {
-          if (finish()) events.failed((cause as Error).message, false, false);
+          try {
+            if (finish()) events.failed((cause as Error).message, false, false);
+          } catch (thrown) {
+            threw(thrown);
+          }
         });
         return { abort: () => void finish() };
       }
       const fail = (reason: string): void => {
         const stale = reused && !begun && reason !== lateReason;
         if (stale && !over) warn(address, idleMs);
-        if (finish()) events.failed(reason, connected, stale);
+        if (finish()) guarded(() => events.failed(reason, connected, stale));
         sent.destroy();
       };
       sent.on('socket', (socket) => {
@@ -174,18 +193,26 @@
         });
       });
       sent.on('error', (cause) => fail(cause.message));
+      // Nobody asked for another protocol; without this the call would hear nothing any more.
+      sent.on('upgrade', (_message, socket) => {
+        begun = true;
+        socket.destroy();
+        fail('a switch of protocols');
+      });
       sent.on('response', (message) => {
         if (over) return void message.destroy();
         begun = true;
+        const status = message.statusCode;
+        if (!isFinal(status)) return fail(`status ${status}, which is none of an answer`);
         receivedBytes += message.rawHeaders.reduce((sum, each) => sum + each.length + lineBytes / 2, statusLineBytes);
-        events.head(message.statusCode ?? 0, message);
+        guarded(() => events.head(status, message));
         message.on('data', (chunk: Buffer | string) => {
           receivedBytes += chunk.length;
-          if (!over) events.data(chunk);
+          if (!over) guarded(() => events.data(chunk));
         });
         message.on('end', () => {
           if (!message.complete) return fail('the answer was cut short');
-          if (finish()) events.ended();
+          if (finish()) guarded(events.ended);
         });
         message.on('error', (cause) => fail(cause.message));
         message.on('close', () => fail('the answer was cut short'));
--- /dev/null
+++ b/src/tests/spoiltAnswers.test.ts
@@ -0,0 +1,86 @@
+import { afterEach, describe, expect, test } from '@jest/globals';
+import type { HostBinding } from '../fleet/fleetTypes.js';
+import { makeSamplerClient, type CallEvents } from '../fleet/samplerClient.js';
+import { loopbackFront } from './loopbackFront.js';
+import { standInSampler, type StandInAsk } from './standInSampler.js';
+import { virtualSamplers } from './virtualSamplers.js';
+
+const closing: Array<() => unknown> = [];
+afterEach(async () => {
+  for (const close of closing.splice(0).reverse()) await close();
+});
+
+const headOf = (statusLine: string, attempt: string): string =>
+  `HTTP/1.1 ${statusLine}\r\nattempt: ${attempt}\r\nstamp: s.1\r\ncontent-length: 4\r\n\r\n`;
+const whole = (attempt: string): Buffer => Buffer.from(`${headOf('200 OK', attempt)}well`);
+const soundAnswer = ({ socket, attempt }: StandInAsk): void => void socket.write(whole(attempt));
+
+/** A front before a sampler whose answers are spoilt, and a sound one that is tried after it. */
+const before = async (script: (ask: StandInAsk) => void, more: Partial<HostBinding>) => {
+  const [spoilt, sound] = [await standInSampler(script), await standInSampler(soundAnswer)];
+  closing.push(spoilt.close, sound.close);
+  const announced = [spoilt, sound].map(({ address }, place) => virtualSamplers.announced(`s${place}`, { address }));
+  const front = await loopbackFront.begin(announced, { attempts: 2, ...more });
+  closing.push(front.close);
+  return { front, asks: () => [spoilt.asks.length, sound.asks.length] };
+};
+
+const routes = [
+  ['a repeatable request', { kind: 'idempotent' }],
+  ['a once-only request', { kind: 'onceOnly' }],
+  ['a stream', { kind: 'streaming', resumable: false }],
+  ['a stream that can be taken up', { kind: 'streaming', resumable: true }],
+] as const;
+
+describe.each(['000 OK', '099 OK', '101 Switching Protocols', '600 OK', '999 OK'])('an answer of %s', (statusLine) => {
+  const answer = ({ socket, attempt }: StandInAsk): void => void socket.write(`${headOf(statusLine, attempt)}well`);
+
+  test.each(routes)('is none: the front lives on and answers %s', async (_what, more) => {
+    const { front, asks } = await before(answer, more);
+    const again = more.kind === 'idempotent' || ('resumable' in more && more.resumable);
+    expect(await front.ask('q')).toMatchObject(again ? { status: 200, body: 'well' } : { status: 504, broken: false });
+    expect(asks()).toEqual([1, again ? 1 : 0]);
+  });
+});
+
+test.each(routes)('a front answers %s whichever bit of an answer’s head is spoilt', async (_what, more) => {
+  const bitsOfHead = 8 * headOf('200 OK', 'q0000').length;
+  let bit = 0;
+  const { front } = await before(({ socket, attempt }) => {
+    const bytes = whole(attempt);
+    bytes[bit >> 3]! ^= 1 << (bit & 7);
+    // The end tells that nothing more comes, where the spoilt head promised more.
+    socket.end(bytes);
+  }, more);
+  for (; bit < bitsOfHead; bit += 1) {
+    const { status } = await front.ask(`q${String(bit).padStart(4, '0')}`);
+    expect(status).toBeGreaterThanOrEqual(200);
+    expect(status).toBeLessThan(600);
+  }
+});
+
+describe('an error that is thrown by who is told of a call', () => {
+  const ignored = (): undefined => undefined;
+  const call = async (events: Partial<CallEvents>) => {
+    const sampler = await standInSampler(soundAnswer);
+    const thrown: unknown[] = [];
+    const client = makeSamplerClient(2, undefined, undefined, undefined, (cause) => thrown.push(cause));
+    closing.push(sampler.close, client.close);
+    const told = await new Promise<string>((resolve) => {
+      const headers = { attempt: 'q', 'content-length': '0' };
+      const asked = { method: 'POST', path: '/', headers, body: Buffer.alloc(0) };
+      const ended = (): void => resolve('ended');
+      const failed = (reason: string): void => resolve(reason);
+      client.call(sampler.address, asked, 4000, { head: ignored, data: ignored, ended, failed, ...events });
+    });
+    return { told, thrown };
+  };
+  const broken = (): never => {
+    throw new Error('broken');
+  };
+  test.each(['head', 'data'] as const)('at its %s ends the call and is reported', async (name) => {
+    const { told, thrown } = await call({ [name]: broken });
+    expect(told).toMatch(/broken/);
+    expect(thrown).toHaveLength(1);
+  });
+});
