A front that stops closes each kept connection after its answer, and takes nothing late

Cause: idle connections were closed once, 2.3 s after the SIGTERM. A stream whose head left before the SIGTERM says nothing of `Connection: close`, so its connection stayed open after it; and Node's `closeIdleConnections` leaves out connections on which no request ever came. What arrived on both was served as if there were time.

Change: `connectionDrain` follows each connection of a server and the requests under way on it. From the SIGTERM on a connection is closed after the answer under way; 2.3 s after it the front closes all that have none, new ones too. A request that began before that and is read whole after it is refused with 503, `Connection: close` and `Retry-After`: nothing is passed on that may not be answered.

Ruled out: the sampler's side (its answers were under way when the front ended), the readiness probe (no request came on a new connection).

--- a/src/fleet/front/frontProgram.ts
+++ b/src/fleet/front/frontProgram.ts
@@ -1,4 +1,5 @@
 import { createServer } from 'node:http';
+import { drainConnections } from '../connectionDrain.js';
 import { watchers } from '../watcher.js';
 import { zonesOf } from '../zonesOf.js';
 import type { FleetSettings, Member } from '../fleetTypes.js';
@@ -29,7 +30,6 @@
     log.event('incarnation_raised', { former, incarnation });
   };
   let leaving = false;
-  let inFlight = 0;
   const ready = (): boolean => {
     const declared = watcher.view().followed?.traffic;
     return !leaving && watcher.heard() && declared !== undefined && (!declared.tenants || contact.keysHold());
@@ -75,14 +75,13 @@
     asks,
     lots,
     leaving: () => leaving,
+    closed: () => drain.closed(),
     now,
     notServed: refusals.note,
   });
   const server = createServer(
     { noDelay: true, maxHeaderSize: 65_536, keepAliveTimeout: 15_000 },
     (message, response) => {
-      inFlight += 1;
-      response.on('close', () => (inFlight -= 1));
       const most = view().followed?.traffic?.limits.bodyBytes ?? defaultBodyBytes;
       const chunks: Buffer[] = [];
       let size = 0;
@@ -107,6 +106,7 @@
       });
     },
   );
+  const drain = drainConnections(server, now);
   const readiness = createServer((message, response) => {
     const status = dialect.ready(message.url ?? '') ? (ready() ? 200 : 503) : 404;
     response.writeHead(status, { 'content-length': '0' });
@@ -138,19 +138,19 @@
     stop: async () => {
       const begun = now();
       leaving = true;
+      drain.leave();
       watcher.tell();
       const items = desks.leave(1500);
       const most = settings.bounds.graceMs - 1200;
       await new Promise((resolve) => setTimeout(resolve, Math.min(readyWaitMs, settings.bounds.graceMs * 0.3)));
-      server.close();
-      server.closeIdleConnections();
+      drain.close();
       await items;
-      while (inFlight > 0 && now() - begun < most) await new Promise((resolve) => setTimeout(resolve, 30));
+      await drain.idle(most - (now() - begun));
       watcher.stop();
       readiness.close();
       client.close();
       refusals.close();
-      log.event('stopped', { inFlight });
+      log.event('stopped', { inFlight: drain.inFlight() });
     },
   };
 };
--- a/src/fleet/front/requestRouter.ts
+++ b/src/fleet/front/requestRouter.ts
@@ -25,6 +25,8 @@
   readonly asks: AskTools;
   readonly lots: LotAsks;
   readonly leaving: () => boolean;
+  /** True once this front ends so soon that what comes now may not be answered in time. */
+  readonly closed: () => boolean;
   readonly now: () => number;
   readonly notServed: (status: number, reason: string) => void;
 }): RequestRouter => {
@@ -34,6 +36,7 @@
     const reply = dialect.refusal(refusal.status, attempt, refusal.retryAfterMs, refusal.reason);
     ordinaryAsks.send(response, reply, options.leaving());
   };
+  const stopping: Refusal = { status: 503, reason: 'this front is about to end', retryAfterMs };
   const notSure: Refusal = { status: 503, reason: 'not sure of the newest configuration', retryAfterMs };
   /** Callers try no more after a 401 or 404: only a front that knows the newest configuration says so. */
   const final = (status: number, reason: string): Refusal => (contact.current() ? { status, reason } : notSure);
@@ -68,6 +71,7 @@
 
   const route = (message: IncomingMessage, response: ServerResponse, body: Buffer, since: number): void => {
     const head = dialect.ask(message.headers);
+    if (options.closed()) return refuse(response, head, stopping);
     const declared = options.declared();
     if (!declared) {
       // A front that has just begun learns the traffic in a moment; a refusal would cost the caller a whole try.
