A success counts only with its stamp on streams and for items too

Cause: `stream` passed the head of an answer on without looking for the stamp; only `attempts` looked for it. The text of an item was taken from an answer without a stamp as well.

Change: `samplerAnswer.kindOf` knows a fourth kind of answer, a success without its stamp, and requests, streams, items and ratings read it there. Such an answer is broken off before a byte of it is passed on: the request is in doubt (504) or goes to another sampler where it may be repeated, an item is cut and runs again. Orders of weights carry no stamp and are read without that check. The stand-in samplers of the simulator and of the bill stamp their texts now, as samplers do.

--- a/src/dev/plainSampler.ts
+++ b/src/dev/plainSampler.ts
@@ -22,7 +22,12 @@
       return void response.end();
     }
     running += 1;
-    const headers = { 'content-type': 'text/event-stream', 'foxdeck-attempt': attempt, 'foxdeck-versions': '1' };
+    const headers = {
+      'content-type': 'text/event-stream',
+      'foxdeck-attempt': attempt,
+      'foxdeck-stamp': '7',
+      'foxdeck-versions': '1',
+    };
     response.writeHead(200, headers);
     let at = Number(message.headers['last-event-id'] ?? 0);
     const timer = setInterval(() => {
--- a/src/fleet/front/attempts.ts
+++ b/src/fleet/front/attempts.ts
@@ -2,7 +2,7 @@
 import type { Sampler } from '../fleetTypes.js';
 import type { CallEvents, SamplerClient } from '../samplerClient.js';
 import type { HedgeControl } from './hedgeControl.js';
-import { samplerAnswer, type AnswerKind } from './samplerAnswer.js';
+import { samplerAnswer } from './samplerAnswer.js';
 import type { SamplerDirectory } from './samplerDirectory.js';
 import { retryBackoffMs } from '../../policy/retryBackoff.js';
 
@@ -114,7 +114,7 @@
     const began = now();
     const chunks: Buffer[] = [];
     let head: SamplerHead | undefined;
-    let answerKind: AnswerKind = 'foreign';
+    let notRun = false;
     let status = 0;
     let raw: ReadonlyArray<string> = [];
     directory.began(sampler.id);
@@ -132,22 +132,21 @@
         status = seen;
         raw = message.rawHeaders;
         head = dialect.samplerHead(message.headers);
-        answerKind = samplerAnswer.kindOf(rules.attempt, head);
-        if (answerKind !== 'foreign') return;
+        const kind = samplerAnswer.kindOf(rules.attempt, seen, head);
+        notRun = kind === 'notRun';
+        if (kind === 'own' || kind === 'notRun') return;
         // Its connection is out of step and goes.
         open.get(place)?.abort();
-        failed(samplerAnswer.foreignReason, true, 0);
+        failed(samplerAnswer.reasons[kind], true, 0);
       },
       data: (chunk) => void chunks.push(chunk as Buffer),
       ended: () => {
-        if (answerKind === 'notRun') {
+        if (notRun) {
           sends -= 1;
           rules.turnedAway?.();
           return failed(`turned away with ${status}`, false, status === 421 ? awayMs : fullMs);
         }
         open.delete(place);
-        // A success without its stamp is none, whoever may have run it.
-        if (status < 300 && head!.stamp === '') return failed('a success without its stamp', true, 0);
         directory.ended(sampler.id, status < 500 ? now() - began : undefined, status < 500 ? 0 : 50);
         if (rules.repeatable && place === 1 && status < 500) hedges.answered(kind, now() - began);
         const answer: Attempted = { kind: 'answered', status, raw, head: head!, body: Buffer.concat(chunks) };
--- a/src/fleet/front/itemRun.ts
+++ b/src/fleet/front/itemRun.ts
@@ -88,8 +88,8 @@
       heardAt = now();
       status = code;
       const head = dialect.samplerHead(message.headers);
-      const kind = samplerAnswer.kindOf(item.id, head);
-      if (kind === 'foreign') return spoilt(samplerAnswer.foreignReason);
+      const kind = samplerAnswer.kindOf(item.id, code, head);
+      if (kind === 'foreign' || kind === 'unstamped') return spoilt(samplerAnswer.reasons[kind]);
       notRun = kind === 'notRun';
       if (code !== 200) return;
       message.setEncoding('utf8');
--- a/src/fleet/front/ordinaryAsks.ts
+++ b/src/fleet/front/ordinaryAsks.ts
@@ -122,12 +122,12 @@
     const call = callOf(tools, ask, head.resumeAfter)(sampler, deadline - now());
     const events: CallEvents = {
       head: (status, answered) => {
-        const kind = samplerAnswer.kindOf(head.attempt, dialect.samplerHead(answered.headers));
-        if (kind === 'foreign') {
+        const kind = samplerAnswer.kindOf(head.attempt, status, dialect.samplerHead(answered.headers));
+        if (kind === 'foreign' || kind === 'unstamped') {
           open?.abort();
           directory.ended(sampler.id, undefined, 0);
           doubtful = true;
-          return binding.resumable ? next() : refuse(samplerAnswer.foreignReason);
+          return binding.resumable ? next() : refuse(samplerAnswer.reasons[kind]);
         }
         notRun = kind === 'notRun';
         if (notRun) return;
--- a/src/fleet/front/weightLoads.ts
+++ b/src/fleet/front/weightLoads.ts
@@ -110,12 +110,12 @@
     };
     const open = options.client.call(sampler.address, call, orderMs, {
       head: (seen, { headers }) => {
-        if (samplerAnswer.kindOf(orderAttempt, options.dialect.samplerHead(headers)) !== 'foreign') {
+        if (samplerAnswer.kindOfUnstamped(orderAttempt, options.dialect.samplerHead(headers)) !== 'foreign') {
           status = seen;
           return;
         }
         open.abort();
-        done(samplerAnswer.foreignReason, true);
+        done(samplerAnswer.reasons.foreign, true);
       },
       data: () => undefined,
       ended: () => done('', true),
--- a/src/sim/fleet/virtualSampler.ts
+++ b/src/sim/fleet/virtualSampler.ts
@@ -88,6 +88,7 @@
     response.writeHead(200, {
       'content-type': 'text/event-stream',
       'foxdeck-attempt': attempt,
+      'foxdeck-stamp': id,
       'foxdeck-versions': String(version),
     });
     let place = Number(message.headers['last-event-id'] ?? 0);
--- a/src/tests/spoiltAnswers.test.ts
+++ b/src/tests/spoiltAnswers.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, describe, expect, test } from '@jest/globals';
 import type { HostBinding } from '../fleet/fleetTypes.js';
 import { makeSamplerClient, type CallEvents } from '../fleet/samplerClient.js';
+import { itemRuns } from './itemRuns.js';
 import { loopbackFront } from './loopbackFront.js';
 import { standInSampler, type StandInAsk } from './standInSampler.js';
 import { virtualSamplers } from './virtualSamplers.js';
@@ -43,6 +44,33 @@
   });
 });
 
+describe('a success without its stamp', () => {
+  const unstamped = ({ socket, attempt }: StandInAsk): void =>
+    void socket.write(`HTTP/1.1 200 OK\r\nattempt: ${attempt}\r\nstamq: s.1\r\ncontent-length: 4\r\n\r\nwell`);
+
+  test.each(routes)('is none: %s is tried elsewhere or in doubt', async (_what, more) => {
+    const { front, asks } = await before(unstamped, more);
+    const again = more.kind === 'idempotent' || ('resumable' in more && more.resumable);
+    expect(await front.ask('q')).toMatchObject(again ? { status: 200, body: 'well' } : { status: 504, broken: false });
+    expect(asks()).toEqual([1, again ? 1 : 0]);
+  });
+  test('is no text of an item', async () => {
+    const sampler = await standInSampler(({ socket, attempt }) => {
+      const events = 'id: 1\ndata: a\n\n';
+      const head = `attempt: ${attempt}\r\nversions: 1\r\ncontent-length: ${events.length}\r\n`;
+      socket.write(`HTTP/1.1 200 OK\r\n${head}\r\n${events}`);
+    });
+    closing.push(sampler.close);
+    expect(await itemRuns.once(sampler.address)).toMatchObject({ kind: 'cut', partial: undefined, suspect: false });
+  });
+  test('is none of a failure: that is passed on as it is', async () => {
+    const failure = ({ socket, attempt }: StandInAsk): void =>
+      void socket.write(`HTTP/1.1 404 None\r\nattempt: ${attempt}\r\ncontent-length: 4\r\n\r\nnone`);
+    const { front } = await before(failure, { kind: 'streaming' });
+    expect(await front.ask('q')).toMatchObject({ status: 404, body: 'none' });
+  });
+});
+
 test.each(routes)('a front answers %s whichever bit of an answer’s head is spoilt', async (_what, more) => {
   const bitsOfHead = 8 * headOf('200 OK', 'q0000').length;
   let bit = 0;
--- a/src/tests/surplusAnswers.test.ts
+++ b/src/tests/surplusAnswers.test.ts
@@ -1,9 +1,8 @@
 import { afterEach, describe, expect, test } from '@jest/globals';
 import type { HostBinding } from '../fleet/fleetTypes.js';
-import { runItem, type RunEnd } from '../fleet/front/itemRun.js';
 import { makeSamplerClient } from '../fleet/samplerClient.js';
+import { itemRuns } from './itemRuns.js';
 import { loopbackFront } from './loopbackFront.js';
-import { plainDialect } from './plainDialect.js';
 import { standInSampler, type StandInAsk } from './standInSampler.js';
 import { virtualSamplers } from './virtualSamplers.js';
 
@@ -56,29 +55,7 @@
     const sampler = await standInSampler(surplusPromise);
     const client = makeSamplerClient(4);
     closing.push(sampler.close, client.close);
-    const end = await new Promise<RunEnd>((resolve) =>
-      runItem(
-        { client, dialect: plainDialect, now: () => performance.now() },
-        {
-          lot: 'l',
-          host: 'h',
-          item: { id: 'q', path: '/p', headers: {}, body: '', tokens: 10, prompt: 1, group: 'g' },
-          single: false,
-          minVersion: 0,
-          priority: 0,
-          near: false,
-        },
-        {
-          sampler: virtualSamplers.announced('s', { address: sampler.address }),
-          model: 'm',
-          version: 1,
-          urgency: 5,
-          stride: 1,
-        },
-        resolve,
-        () => undefined,
-      ),
-    );
+    const end = await itemRuns.once(sampler.address, client);
     expect(end).toMatchObject({ kind: 'cut', partial: undefined, suspect: false });
     expect(client.idle(sampler.address)).toBe(false);
   });
