An error in an event or a timer of a front or a core fails its request, not the process

Found by reading and shown by tests: a request that waits in a new front for the first view of the cores is routed from a timer outside any catch; a promise of a batch's call that is rejected, or a reply that can't be written, is an unhandled rejection; the control server of a core read and answered its calls in an event without a catch; the metrics text likewise.

Change: the router guards what it does in events, timers and promises: the request is answered 500 with the event `request_failed`. `serveControl` answers 500 with `control_failed`.

--- a/src/fleet/core/coreProgram.ts
+++ b/src/fleet/core/coreProgram.ts
@@ -218,7 +218,14 @@
     stores: () => members().filter((member) => member.role === 'store' && member.state === 'ready'),
     event: log.event,
   });
-  await serveControl(settings.listen.control!, tools.transport, dialect, control);
+  await serveControl(settings.listen.control!, {
+    transport: tools.transport,
+    dialect,
+    handler: control,
+    leaving: () => false,
+    now,
+    failed: (url, cause) => log.event('control_failed', { url, reason: String(cause) }),
+  });
   state = 'ready';
 
   const seedNames = (): ReadonlyArray<Presence> =>
--- a/src/fleet/core/serveControl.ts
+++ b/src/fleet/core/serveControl.ts
@@ -1,18 +1,41 @@
-import { createServer } from 'node:http';
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Transport } from '../../shared/transport.js';
+import { drainConnections, type ConnectionDrain } from '../connectionDrain.js';
 import type { Dialect, Reply } from '../dialect.js';
+import { sendReply } from '../sendReply.js';
 import type { ControlHandler } from './controlHandler.js';
 
 const bodyMost = 64 * 1024 * 1024;
+const keepAliveMs = 30_000;
 
-/** Serves the control calls of samplers, trainers and operators over HTTP. */
-export const serveControl = (
+/** Serves the control calls of samplers, trainers and operators over HTTP; answers how its connections end. */
+export const serveControl = async (
   address: string,
-  transport: Transport,
-  dialect: Dialect,
-  desk: ControlHandler,
-): Promise<void> => {
-  const server = createServer({ noDelay: true, keepAliveTimeout: 30_000 }, (message, response) => {
+  options: {
+    readonly transport: Transport;
+    readonly dialect: Dialect;
+    readonly handler: ControlHandler;
+    readonly leaving: () => boolean;
+    readonly now: () => number;
+    /** Hears of a call that failed by an error of this process. */
+    readonly failed: (url: string, cause: unknown) => void;
+  },
+): Promise<ConnectionDrain> => {
+  const { dialect, handler } = options;
+  const answer = async (message: IncomingMessage, body: Buffer): Promise<Reply> => {
+    try {
+      const call = dialect.controlCall(message.method ?? '', message.url ?? '', message.headers, body);
+      return call ? await handler.handle(call, body) : { status: 404 };
+    } catch (cause) {
+      options.failed(message.url ?? '', cause);
+      return { status: 500 };
+    }
+  };
+  const serve = async (message: IncomingMessage, response: ServerResponse, body: Buffer): Promise<void> => {
+    const reply = await answer(message, body);
+    sendReply(response, reply, options.leaving());
+  };
+  const server = createServer({ noDelay: true, keepAliveTimeout: keepAliveMs }, (message, response) => {
     const chunks: Buffer[] = [];
     let size = 0;
     message.on('data', (chunk: Buffer) => {
@@ -22,17 +45,13 @@
     });
     message.on('error', () => undefined);
     message.on('end', () => {
-      const body = Buffer.concat(chunks);
-      const answer = ({ status, headers, body: bytes = '' }: Reply): void => {
-        if (response.destroyed) return;
-        const whole = Buffer.from(bytes);
-        response.writeHead(status, { ...headers, 'content-length': String(whole.length) });
-        response.end(whole);
-      };
-      const call = dialect.controlCall(message.method ?? '', message.url ?? '', message.headers, body);
-      if (!call) return answer({ status: 404 });
-      void desk.handle(call, body).then(answer);
+      serve(message, response, Buffer.concat(chunks)).catch((cause: unknown) => {
+        options.failed(message.url ?? '', cause);
+        response.destroy();
+      });
     });
   });
-  return transport.listenHttp(server, address);
+  const drain = drainConnections(server, options.now);
+  await options.transport.listenHttp(server, address);
+  return drain;
 };
--- a/src/fleet/front/frontProgram.ts
+++ b/src/fleet/front/frontProgram.ts
@@ -5,12 +5,12 @@
 import type { FleetSettings, Member } from '../fleetTypes.js';
 import type { Program, ProgramTools } from '../program.js';
 import { makeSamplerClient } from '../samplerClient.js';
+import { sendReply } from '../sendReply.js';
 import { serveCalls } from '../serveCalls.js';
 import { configurationContact } from './configurationContact.js';
 import { makeDesks } from './desks.js';
 import { makeHedgeControl } from './hedgeControl.js';
 import { makeLotAsks } from './lotAsks.js';
-import { ordinaryAsks } from './ordinaryAsks.js';
 import { makeOrderLease } from './orderLease.js';
 import { makeRefusalLog } from './refusalLog.js';
 import { makeRequestRouter } from './requestRouter.js';
@@ -78,6 +78,7 @@
     closed: () => drain.closed(),
     now,
     notServed: refusals.note,
+    failed: (url, cause) => log.event('request_failed', { url, reason: String(cause) }),
   });
   const server = createServer(
     { noDelay: true, maxHeaderSize: 65_536, keepAliveTimeout: 15_000 },
@@ -90,19 +91,13 @@
         if (size <= most) chunks.push(chunk);
         else if (size - chunk.length <= most) {
           const { attempt } = dialect.ask(message.headers);
-          ordinaryAsks.send(response, dialect.refusal(413, attempt, undefined, `the body is over ${most} bytes`), true);
+          sendReply(response, dialect.refusal(413, attempt, undefined, `the body is over ${most} bytes`), true);
         }
       });
       message.on('error', () => undefined);
       message.on('end', () => {
         if (size > most) return;
-        try {
-          route(message, response, chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
-        } catch (cause) {
-          log.event('request_failed', { url: message.url, reason: String(cause) });
-          const { attempt } = dialect.ask(message.headers);
-          ordinaryAsks.send(response, dialect.refusal(500, attempt, undefined, 'an error of this front'), leaving);
-        }
+        route(message, response, chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
       });
     },
   );
--- a/src/fleet/front/ordinaryAsks.ts
+++ b/src/fleet/front/ordinaryAsks.ts
@@ -1,7 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { AskHead, Caller, Dialect, Reply } from '../dialect.js';
+import type { AskHead, Caller, Dialect } from '../dialect.js';
 import type { HostBinding, Sampler } from '../fleetTypes.js';
 import type { CallEvents, SamplerClient } from '../samplerClient.js';
+import { sendReply } from '../sendReply.js';
 import { traffic } from '../traffic.js';
 import { attempts } from './attempts.js';
 import type { HedgeControl } from './hedgeControl.js';
@@ -34,18 +35,6 @@
 const networkMs = 4;
 const retryAfterMs = 300;
 
-/** Sends a reply, whole, unless the caller is gone. */
-const send = (response: ServerResponse, reply: Reply, leaving: boolean): void => {
-  if (response.destroyed || response.writableEnded) return;
-  const body = Buffer.from(reply.body ?? '');
-  response.writeHead(reply.status, {
-    ...reply.headers,
-    ...(leaving && { connection: 'close' }),
-    'content-length': String(body.length),
-  });
-  response.end(body);
-};
-
 const callOf =
   (tools: AskTools, { message, caller, body }: Ask, resumeAfter?: number) =>
   (sampler: Sampler, timeLeftMs: number) => ({
@@ -78,7 +67,7 @@
     },
     (outcome) => {
       if (outcome.kind === 'answered')
-        return send(
+        return sendReply(
           response,
           { status: outcome.status, headers: tools.dialect.passedBack(outcome.raw), body: outcome.body },
           leaving(),
@@ -86,7 +75,7 @@
       const status = outcome.kind === 'notRun' ? 503 : 504;
       const again = outcome.kind === 'notRun' ? retryAfterMs : undefined;
       if (!response.destroyed) tools.notServed(status, outcome.reason);
-      send(response, tools.dialect.refusal(status, head.attempt, again, outcome.reason), leaving());
+      sendReply(response, tools.dialect.refusal(status, head.attempt, again, outcome.reason), leaving());
     },
   );
   response.on('close', () => {
@@ -108,7 +97,7 @@
   const refuse = (reason: string): void => {
     const status = doubtful ? 504 : 503;
     tools.notServed(status, reason);
-    send(response, dialect.refusal(status, head.attempt, doubtful ? undefined : retryAfterMs, reason), leaving());
+    sendReply(response, dialect.refusal(status, head.attempt, doubtful ? undefined : retryAfterMs, reason), leaving());
   };
   const next = (): void => {
     if (response.destroyed) return;
@@ -168,4 +157,4 @@
 };
 
 /** The serving of requests by binding. */
-export const ordinaryAsks = { answer, stream, send };
+export const ordinaryAsks = { answer, stream };
--- a/src/fleet/front/requestRouter.ts
+++ b/src/fleet/front/requestRouter.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AskHead, Caller, Dialect, LotCall, Reply } from '../dialect.js';
 import type { HostBinding, Traffic } from '../fleetTypes.js';
+import { sendReply } from '../sendReply.js';
 import { tenantKeys } from '../tenantKeys.js';
 import { traffic } from '../traffic.js';
 import type { ConfigurationContact } from './configurationContact.js';
@@ -29,12 +30,14 @@
   readonly closed: () => boolean;
   readonly now: () => number;
   readonly notServed: (status: number, reason: string) => void;
+  /** Hears of a request that failed by an error of this process. */
+  readonly failed: (url: string, cause: unknown) => void;
 }): RequestRouter => {
   const { dialect, contact, now } = options;
   const refuse = (response: ServerResponse, { attempt }: AskHead, refusal: Refusal): void => {
     options.notServed(refusal.status, refusal.reason);
     const reply = dialect.refusal(refusal.status, attempt, refusal.retryAfterMs, refusal.reason);
-    ordinaryAsks.send(response, reply, options.leaving());
+    sendReply(response, reply, options.leaving());
   };
   const stopping: Refusal = { status: 503, reason: 'this front is about to end', retryAfterMs };
   const notSure: Refusal = { status: 503, reason: 'not sure of the newest configuration', retryAfterMs };
@@ -46,14 +49,37 @@
       return final(401, head.key === undefined ? 'a key is needed' : 'the key is not known');
     return contact.keysHold() ? undefined : notSure;
   };
-  const reply = (response: ServerResponse, work: Promise<Reply>): void =>
-    void work.then((each) => ordinaryAsks.send(response, each, options.leaving()));
+  const failed = (message: IncomingMessage, response: ServerResponse, cause: unknown): void => {
+    options.failed(message.url ?? '', cause);
+    const { attempt } = dialect.ask(message.headers);
+    const refusal = dialect.refusal(500, attempt, undefined, 'an error of this front');
+    sendReply(response, refusal, options.leaving());
+  };
+  /** Nothing catches an error that is thrown in an event or a timer: here it fails the request, not the process. */
+  const guarded = (message: IncomingMessage, response: ServerResponse, work: () => void): void => {
+    try {
+      work();
+    } catch (cause) {
+      failed(message, response, cause);
+    }
+  };
+  const reply = (message: IncomingMessage, response: ServerResponse, work: Promise<Reply>): void =>
+    void work
+      .then((each) => sendReply(response, each, options.leaving()))
+      .catch((cause: unknown) => failed(message, response, cause));
 
-  const serveLotCall = (declared: Traffic, call: LotCall, host: string, head: AskHead, response: ServerResponse) => {
+  const serveLotCall = (
+    declared: Traffic,
+    call: LotCall,
+    head: AskHead,
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): void => {
+    const host = String(message.headers.host ?? '');
     const caller = tenantKeys.callerOf(declared, head.key);
     const refusal = tenantKeys.lotsExempt(declared, host) ? undefined : keyRefusal(head, caller);
     if (refusal) return refuse(response, head, refusal);
-    reply(response, options.lots.call(call, caller));
+    reply(message, response, options.lots.call(call, caller));
   };
   const serveByBinding = (
     binding: HostBinding,
@@ -64,7 +90,7 @@
     body: Buffer,
   ): void => {
     if (binding.kind === 'rollout')
-      return reply(response, options.lots.hand(head, binding.host, binding, body, caller));
+      return reply(message, response, options.lots.hand(head, binding.host, binding, body, caller));
     const serve = binding.kind === 'streaming' ? ordinaryAsks.stream : ordinaryAsks.answer;
     serve(options.asks, { binding, caller, head, message, body, response, leaving: options.leaving });
   };
@@ -76,13 +102,16 @@
     if (!declared) {
       // A front that has just begun learns the traffic in a moment; a refusal would cost the caller a whole try.
       if (now() - since < Math.min(newcomerMs, head.timeLeftMs * newcomerShare))
-        return void setTimeout(() => route(message, response, body, since), newcomerPauseMs);
+        return void setTimeout(
+          () => guarded(message, response, () => route(message, response, body, since)),
+          newcomerPauseMs,
+        );
       return refuse(response, head, { status: 503, reason: 'no traffic is declared yet', retryAfterMs });
     }
     const url = message.url ?? '/';
     const host = String(message.headers.host ?? '');
     const call = dialect.lotCall(message.method ?? '', url, message.headers);
-    if (call) return serveLotCall(declared, call, host, head, response);
+    if (call) return serveLotCall(declared, call, head, message, response);
     const binding = traffic.match(declared, host, url.split('?')[0]!);
     if (!binding) return refuse(response, head, final(404, 'no such route'));
     const caller = tenantKeys.callerOf(declared, head.key);
@@ -90,5 +119,5 @@
     if (refusal) return refuse(response, head, refusal);
     serveByBinding(binding, caller, head, message, response, body);
   };
-  return (message, response, body) => route(message, response, body, now());
+  return (message, response, body) => guarded(message, response, () => route(message, response, body, now()));
 };
--- a/src/fleet/serveMetrics.ts
+++ b/src/fleet/serveMetrics.ts
@@ -11,7 +11,10 @@
   if (address !== undefined) {
     const server = createServer((message, response) => {
       if (message.url !== path) return void response.writeHead(404).end();
-      void metrics.text().then((text) => response.writeHead(200, { 'content-type': 'text/plain' }).end(text));
+      metrics.text().then(
+        (text) => void response.writeHead(200, { 'content-type': 'text/plain' }).end(text),
+        () => void response.destroy(),
+      );
     });
     // A process without its counters still does its work.
     await tools.transport.listenHttp(server, address).catch((cause: unknown) => {
--- /dev/null
+++ b/src/tests/controlServer.test.ts
@@ -0,0 +1,68 @@
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { afterEach, describe, expect, test } from '@jest/globals';
+import { realTransport } from '../edge/realTransport.js';
+import type { ConnectionDrain } from '../fleet/connectionDrain.js';
+import { serveControl } from '../fleet/core/serveControl.js';
+import type { ControlCall, Dialect, Reply } from '../fleet/dialect.js';
+import { rawClient, type RawClient } from './rawClient.js';
+import { turns } from './turns.js';
+
+const closing: Array<() => unknown> = [];
+afterEach(async () => {
+  for (const close of closing.splice(0).reverse()) await close();
+});
+
+/** A port that was free a moment ago. */
+const freeAddress = (): Promise<string> =>
+  new Promise((resolve) => {
+    const server = createServer().listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => resolve(`127.0.0.1:${port}`));
+    });
+  });
+
+const read: ControlCall = { kind: 'declared' };
+/** A core's control server over a handler of the test's. */
+const begin = async (handle: () => Promise<Reply>, controlCall: () => ControlCall = () => read) => {
+  const address = await freeAddress();
+  const failures: string[] = [];
+  const state = { leaving: false };
+  const drain: ConnectionDrain = await serveControl(address, {
+    transport: realTransport,
+    dialect: { controlCall } as unknown as Dialect,
+    handler: { handle },
+    leaving: () => state.leaving,
+    now: () => performance.now(),
+    failed: (_url, cause) => failures.push(String(cause)),
+  });
+  closing.push(drain.close);
+  const connected = async (): Promise<RawClient> => {
+    const client = await rawClient(address);
+    closing.push(client.close);
+    return client;
+  };
+  return { drain, failures, state, connected };
+};
+const call = 'GET /any HTTP/1.1\r\nHost: core\r\n\r\n';
+const well = (): Promise<Reply> => Promise.resolve({ status: 200, body: 'well' });
+
+describe('a control call that fails by an error of the core', () => {
+  const broken = (): never => {
+    throw new Error('broken');
+  };
+  test.each<[string, () => Promise<Reply>, (() => ControlCall) | undefined]>([
+    ['while it is read', well, broken],
+    ['while it is handled', broken, undefined],
+    ['after it was handled for a while', () => Promise.resolve().then(broken), undefined],
+    ['by a reply that can’t be sent', () => Promise.resolve({ status: 99 }), undefined],
+  ])('%s leaves the core alive, which tells of it', async (_when, handle, controlCall) => {
+    const { connected, failures } = await begin(handle, controlCall);
+    const client = await connected();
+    client.write(call);
+    await turns.until(() => client.received().startsWith('HTTP/1.1 500') || client.ended());
+    expect(failures).toHaveLength(1);
+    const another = await connected();
+    another.close();
+  });
+});
--- a/platform/tests/rawClient.ts
+++ b/src/tests/rawClient.ts
@@ -1,5 +1,5 @@
 import { connect, type Socket } from 'node:net';
-import { turns } from '../../src/tests/turns.js';
+import { turns } from './turns.js';
 
 /** A client that writes bytes on one connection and reads what comes. */
 export type RawClient = {
