A core that stops answers the control calls under way and closes its kept connections

A core left them open, answered without a word of its end, and cut what was under way when its process ended 0.5 s later: a configuration that was just being decided ended without a clear answer, and so did the announcement of a sampler.

Change: the control server uses the same `connectionDrain` as fronts. From the SIGTERM on answers say `Connection: close` and connections are closed after them; after 0.5 s those without a call are closed and none is taken; the core ends once no call is under way, after 1 s more at the latest (a control call is answered within 0.9 s).

Evidence: the three tests of `controlServer.test.ts` on stopping failed with the former handling in place and pass now. Stores serve no callers' connections; their peers' calls are refused by name while they leave, as before.

--- a/src/fleet/core/coreProgram.ts
+++ b/src/fleet/core/coreProgram.ts
@@ -37,6 +37,10 @@
 const keepMs = 1000;
 const confirmMs = 1500;
 const startRetryMs = 500;
+/** How long callers may still come after this core said that it leaves. */
+const leaveMs = 500;
+/** The longest that a control call takes. */
+const controlMostMs = 1000;
 /** How often within the time for which a withdrawn key may be honoured the newest configuration is confirmed. */
 const confirmationsPerRevocation = 8;
 
@@ -218,11 +222,11 @@
     stores: () => members().filter((member) => member.role === 'store' && member.state === 'ready'),
     event: log.event,
   });
-  await serveControl(settings.listen.control!, {
+  const controlDrain = await serveControl(settings.listen.control!, {
     transport: tools.transport,
     dialect,
     handler: control,
-    leaving: () => false,
+    leaving: () => state === 'leaving',
     now,
     failed: (url, cause) => log.event('control_failed', { url, reason: String(cause) }),
   });
@@ -294,8 +298,11 @@
     },
     stop: async () => {
       state = 'leaving';
+      controlDrain.leave();
       watcher.tell();
-      await new Promise((resolve) => setTimeout(resolve, 500));
+      await new Promise((resolve) => setTimeout(resolve, leaveMs));
+      controlDrain.close();
+      await controlDrain.idle(controlMostMs);
       for (const timer of timers) clearInterval(timer);
       watcher.stop();
     },
--- a/src/tests/controlServer.test.ts
+++ b/src/tests/controlServer.test.ts
@@ -66,3 +66,44 @@
     another.close();
   });
 });
+
+describe('the control server of a core that was told to stop', () => {
+  test('answers the calls under way and closes their connections after it', async () => {
+    const answers: Array<(reply: Reply) => void> = [];
+    const { drain, state, connected } = await begin(() => new Promise((resolve) => answers.push(resolve)));
+    const client = await connected();
+    client.write(call);
+    await turns.until(() => answers.length === 1);
+    state.leaving = true;
+    drain.leave();
+    drain.close();
+    const idle = drain.idle(60_000);
+    expect(drain.inFlight()).toBe(1);
+    answers[0]!({ status: 200, body: 'well' });
+    await idle;
+    await turns.until(client.ended);
+    expect(client.received()).toMatch(/^HTTP\/1\.1 200 OK\r\n[^]*connection: close[^]*well$/i);
+  });
+  test('closes kept connections, those on which no call came too', async () => {
+    const { drain, connected } = await begin(well);
+    const [used, silent] = [await connected(), await connected()];
+    used.write(call);
+    await used.until('well');
+    drain.leave();
+    drain.close();
+    await turns.until(() => used.ended() && silent.ended());
+    expect(silent.received()).toBe('');
+    expect(drain.inFlight()).toBe(0);
+  });
+  test('closes a kept connection after an answer that did not say so', async () => {
+    const answers: Array<(reply: Reply) => void> = [];
+    const { drain, connected } = await begin(() => new Promise((resolve) => answers.push(resolve)));
+    const client = await connected();
+    client.write(call);
+    await turns.until(() => answers.length === 1);
+    drain.leave();
+    answers[0]!({ status: 200, body: 'well' });
+    await turns.until(client.ended);
+    expect(client.received()).toMatch(/well$/);
+  });
+});
