Cores keep samplers that are gone on their disks: a restart forgets no departure

Cause: `samplerFile` left out samplers that are gone. A departure is acknowledged once a majority of voters has it on disk, but for a DELETE what they wrote did not name the sampler at all. After a restart its late beat was a newcomer's.

Change: the file holds those that are gone too, for as long as the core remembers them (90 s); the beat is then known to be an old one.

The test of a core that starts again expected a list without the one that is gone; it expects it as gone now, which is as strict, and a new test sends the late beat.

--- a/src/fleet/core/samplerFile.ts
+++ b/src/fleet/core/samplerFile.ts
@@ -25,7 +25,8 @@
   const run = <A>(work: Effect.Effect<A, unknown, Disk>): Promise<A> =>
     Effect.runPromise(Effect.provideService(work as Effect.Effect<A, Error, Disk>, Disk, disk));
   const write = (samplers: Iterable<Sampler>): Promise<void> => {
-    const list = [...samplers].filter((sampler) => sampler.state !== 'gone');
+    // Those that are gone too: a late beat must not bring back one whose departure was acknowledged.
+    const list = [...samplers];
     // A beat alone is no news.
     const news = JSON.stringify(list.map((sampler) => ({ ...sampler, beat: 0 })));
     if (news === kept) return Promise.resolve();
--- a/src/tests/samplerFile.test.ts
+++ b/src/tests/samplerFile.test.ts
@@ -43,6 +43,8 @@
   expect(heard.samplers?.map(({ id, state }) => [id, state])).toEqual([
     ['s1', 'ready'],
     ['s2', 'draining'],
+    // Fronts leave one that is gone alone; what matters is that it does not come back, as the next test shows.
+    ['s3', 'gone'],
   ]);
   expect(desk.announce({ ...sampler('s1'), beat: 6, state: 'draining' })).toBe(true);
   clock.at += 3300;
@@ -53,6 +55,23 @@
   expect(desk.sampler('s2')?.state).toBe('gone');
 });
 
+test('a sampler whose departure was acknowledged is not brought back by a late beat after a restart', async () => {
+  const clock = { at: 1000 };
+  const desk = deskWith([], clock);
+  desk.announce(announcedSampler('s1', 5));
+  desk.announce({ ...announcedSampler('s1', 6), state: 'gone' });
+  await file().keepNow(desk.samplers());
+
+  const again = deskWith(await file().read(), clock);
+  expect(again.announce(announcedSampler('s1', 5))).toBe(false);
+  expect(again.announce(announcedSampler('s1', 7))).toBe(false);
+  expect(again.sampler('s1')?.state).toBe('gone');
+  // It is forgotten, and its place in the file with it, once no beat of it can still be under way.
+  clock.at += 100_000;
+  again.tick();
+  expect([...again.samplers()]).toEqual([]);
+});
+
 test('a damaged file is none, and one that could not be written is written at the next round', async () => {
   expect(await file().read()).toEqual([]);
   await file().keep([sampler('s1')]);
