Calls that wait for a connection to a sampler go elsewhere once it leaves

Callers saw: a front had more requests for a sampler than the 24 connections that it opens to one.

Cause: a request's sampler is chosen when it comes; the agent then queues it for a connection, and nothing looked at the sampler again when one came free.

Change: the client of samplers knows which calls wait for a connection. When a front learns that a sampler is no longer ready, it withdraws them; nothing of them was sent, so each is tried elsewhere, once-only requests too, and the withdrawn attempt doesn't count against the route's `maxAttempts`.

--- a/src/fleet/front/attempts.ts
+++ b/src/fleet/front/attempts.ts
@@ -160,6 +160,8 @@
           sends -= staleSends > 0 ? 1 : 0;
           staleSends -= 1;
         }
+        // It waited for a connection to a sampler that left meanwhile: no attempt was made.
+        if (!sent && directory.left(sampler.id)) sends -= 1;
         failed(reason, sent, stale ? 0 : awayMs);
       },
     };
--- a/src/fleet/front/frontProgram.ts
+++ b/src/fleet/front/frontProgram.ts
@@ -116,9 +116,11 @@
       server.keepAliveTimeout = Math.max(1000, limits.idleMs);
       server.headersTimeout = Math.max(1000, limits.headerMs);
     }
-    for (const [id, sampler] of before.samplers)
-      if (sampler.state !== 'gone' && (after.samplers.get(id)?.state ?? 'gone') === 'gone')
-        client.forget(sampler.address);
+    for (const [id, sampler] of before.samplers) {
+      const state = after.samplers.get(id)?.state ?? 'gone';
+      if (sampler.state === 'ready' && state !== 'ready') client.withdraw(sampler.address);
+      if (sampler.state !== 'gone' && state === 'gone') client.forget(sampler.address);
+    }
     desks.changed();
   });
   await serveCalls(channels, settings.peer, () => undefined, log);
--- a/src/fleet/front/ordinaryAsks.ts
+++ b/src/fleet/front/ordinaryAsks.ts
@@ -141,6 +141,8 @@
           staleSends -= 1;
           tried.delete(sampler.id);
         }
+        // It waited for a connection to a sampler that left meanwhile: no attempt was made.
+        if (!sent && directory.left(sampler.id)) tried.delete(sampler.id);
         directory.ended(sampler.id, undefined, stale ? 0 : 400);
         if (passing) return void response.destroy();
         if (sent) doubtful = true;
--- a/src/fleet/front/samplerDirectory.ts
+++ b/src/fleet/front/samplerDirectory.ts
@@ -7,6 +7,8 @@
   /** The best sampler of a service that was not tried yet; `once` where the request can't be sent again. */
   readonly choose: (service: string, tried: ReadonlySet<string>, once?: boolean) => Sampler | undefined;
   readonly find: (id: string) => Sampler | undefined;
+  /** True once a sampler is known to be leaving or gone. */
+  readonly left: (id: string) => boolean;
   readonly of: (service: string) => ReadonlyArray<Sampler>;
   readonly began: (id: string) => void;
   /** Notes how a call went: what it took in milliseconds, or that it failed, and for how long to stay away. */
@@ -89,6 +91,7 @@
   return {
     of,
     find: (id) => options.view().samplers.get(id),
+    left: (id) => options.view().samplers.get(id)?.state !== 'ready',
     choose: (service, tried, once = false) => {
       let best: { sampler: Sampler; cost: number } | undefined;
       for (const sampler of of(service)) {
--- a/src/fleet/samplerClient.ts
+++ b/src/fleet/samplerClient.ts
@@ -35,6 +35,8 @@
   ) => OpenCall;
   /** True when a kept connection to an address stands idle; with `once`, one that is surely not forgotten. */
   readonly idle: (address: string, once?: boolean) => boolean;
+  /** Fails the calls to an address that still wait for a connection: no byte of them was sent. */
+  readonly withdraw: (address: string) => void;
   /** Closes the idle connections to an address that is not used any more. */
   readonly forget: (address: string) => void;
   /** Closes all connections. */
@@ -82,6 +84,8 @@
   /** The shortest idle time after which an address had forgotten a connection, of late. */
   const warnings = new Map<string, Warning>();
   const agents = new Map<string, Agent>();
+  /** How to fail the calls that wait for a connection, by address. */
+  const waiting = new Map<string, Set<() => void>>();
   let calls = 0;
   let connections = 0;
   const agentOf = (address: string): Agent => {
@@ -126,9 +130,15 @@
       let idleMs = 0;
       let connecting: NodeJS.Timeout | undefined;
       let receivedBytes = 0;
+      const withdrawn = (): void => fail('withdrawn while it waited for a connection');
+      const waitsNoMore = (): void => {
+        const calls = waiting.get(address);
+        if (calls?.delete(withdrawn) && calls.size === 0) waiting.delete(address);
+      };
       const finish = (): boolean => {
         if (over) return false;
         over = true;
+        waitsNoMore();
         clearTimeout(timer);
         clearTimeout(connecting);
         const sentBytes = headSize(method, path, headers) + body.length;
@@ -173,7 +183,9 @@
         if (finish()) guarded(() => events.failed(reason, connected, stale));
         sent.destroy();
       };
+      waiting.set(address, (waiting.get(address) ?? new Set()).add(withdrawn));
       sent.on('socket', (socket) => {
+        waitsNoMore();
         socket.off('data', dropped);
         if (!socket.connecting) {
           connected = true;
@@ -226,6 +238,9 @@
       };
     },
     idle: (address, once = false) => idleOf(address).some((socket) => !once || remembered(address, socket)),
+    withdraw: (address) => {
+      for (const fail of [...(waiting.get(address) ?? [])]) fail();
+    },
     forget: (address) => {
       warnings.delete(address);
       agents.get(address)?.destroy();
--- a/src/tests/busySamplers.ts
+++ b/src/tests/busySamplers.ts
@@ -64,6 +64,7 @@
         return { abort: () => void (job.over = true) };
       },
       idle: () => true,
+      withdraw: () => undefined,
       forget: nothing,
       close: nothing,
       counts: () => ({ calls: arrivals, connections: 0 }),
--- a/src/tests/orders.test.ts
+++ b/src/tests/orders.test.ts
@@ -187,6 +187,7 @@
         return { abort: () => void (aborted = true) };
       },
       idle: () => true,
+      withdraw: () => undefined,
       forget: () => undefined,
       close: () => undefined,
       counts: () => ({ calls: sent.length, connections: 0 }),
--- a/src/tests/virtualSamplers.ts
+++ b/src/tests/virtualSamplers.ts
@@ -71,6 +71,7 @@
       return { abort: () => void finish() };
     },
     idle: (address) => idle.has(address),
+    withdraw: () => undefined,
     forget: (address) => void idle.delete(address),
     close: () => undefined,
     counts: () => ({ calls: calls.length, connections: 0 }),
