Soak: samplers spoil answers, streams on kept connections, beats that come after a departure

A sampler in trouble sends a late copy of an earlier promise before an answer, spoils a status line or the name of a stamp, one answer in 2 to 21 for 1 to 6 s. Four clients ask for streams that can't be taken up, each on a kept connection until the process behind it is gone; they are judged: run once, not refused after they ran, whole with a stamp, and not cut by a front that took them 3 s after its SIGTERM. In the simulator too, a sampler's last beat before its departure arrives after the acknowledgement.

--- a/src/sim/fleet/fleetTraffic.ts
+++ b/src/sim/fleet/fleetTraffic.ts
@@ -9,8 +9,8 @@
   plainBindings.binding({ name, host, kind, ...times, shares: [{ service: to, weight: 1 }] });
 
 /**
- * The traffic of a simulated day: batches, ratings, repeatable requests and requests that run once at most. The mark
- * tells apart what two operators declare under one version.
+ * The traffic of a simulated day: batches, ratings, repeatable requests, requests that run once at most and streams.
+ * The mark tells apart what two operators declare under one version.
  */
 export const fleetTraffic = (version: number, mark: string): PlainDocument => ({
   version,
@@ -19,6 +19,7 @@
     { ...binding('ratings', 'rate.fleet', 'idempotent', 'plain'), authExempt: true },
     binding('reads', 'read.fleet', 'idempotent', 'plain'),
     binding('writes', 'write.fleet', 'onceOnly', 'plain'),
+    binding('streams', 'stream.fleet', 'streaming', 'texts'),
     binding(`mark-${mark}`, `mark-${mark}.fleet`, 'idempotent', 'plain'),
   ],
   services: [service('texts', true), service('plain', false)],
--- a/src/sim/fleet/httpCalls.ts
+++ b/src/sim/fleet/httpCalls.ts
@@ -1,10 +1,14 @@
-import { Agent, request } from 'node:http';
+import { Agent, request, type IncomingHttpHeaders } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Transport } from '../../shared/transport.js';
 import { httpSilence } from './httpSilence.js';
 
 /** An answer; status 0 stands for silence, a refused or a broken connection. */
-export type HttpAnswer = { readonly status: number; readonly body: string };
+export type HttpAnswer = {
+  readonly status: number;
+  readonly body: string;
+  readonly headers?: IncomingHttpHeaders;
+};
 
 /** Calls over HTTP by the simulated outside, on kept connections. */
 export type HttpCalls = {
@@ -46,7 +50,10 @@
           let text = '';
           message.setEncoding('utf8');
           message.on('data', (chunk: string) => (text += chunk));
-          message.on('end', () => finish({ status: message.complete ? (message.statusCode ?? 0) : 0, body: text }));
+          message.on('end', () => {
+            const status = message.complete ? (message.statusCode ?? 0) : 0;
+            finish({ status, body: text, headers: message.headers });
+          });
           message.on('error', () => finish({ status: 0, body: 'broken off' }));
           message.on('close', () => finish({ status: 0, body: 'broken off' }));
         });
--- a/src/sim/fleet/observations.ts
+++ b/src/sim/fleet/observations.ts
@@ -68,6 +68,27 @@
       readonly status: number;
       readonly echoed: string;
     }
+  /** A stream that can't be taken up, asked for on a kept connection; status 0 is silence or a broken answer. */
+  | {
+      readonly kind: 'streamed';
+      readonly sentAt: number;
+      readonly at: number;
+      readonly attempt: string;
+      readonly front: string;
+      readonly status: number;
+      readonly stamped: boolean;
+      readonly text: string;
+    }
+  /** A process was told to stop, or was disturbed: killed, frozen, or its connections reset. */
+  | {
+      readonly kind: 'signalled';
+      readonly at: number;
+      readonly machine: string;
+      readonly front: string | undefined;
+      readonly how: 'stop' | 'disturb';
+    }
+  /** A sampler's process ended, and its connections with it. */
+  | { readonly kind: 'samplerEnded'; readonly at: number; readonly sampler: string }
   | {
       readonly kind: 'batchTaken';
       readonly at: number;
--- a/src/sim/fleet/virtualSampler.ts
+++ b/src/sim/fleet/virtualSampler.ts
@@ -41,6 +41,8 @@
 const announceMs = 1000;
 const drainMs = 2000;
 const againMs = 150;
+/** A beat that was sent before a departure may arrive so long after its acknowledgement. */
+const lateBeatMs = { least: 200, most: 2500 };
 
 /** The text that an item gets: each event names the item and its place. */
 const textOf = (item: string): string =>
@@ -151,15 +153,15 @@
   const calls = httpCalls(options.transport);
   let core = Math.floor(world.chance() * options.cores.length);
   const path = `/foxdeck/samplers/${encodeURIComponent(id)}`;
-  const announce = async (): Promise<boolean> => {
+  const nextBeat = (): string => {
     settleLoad();
     beat += 1;
     const models = options.model ? { writer: version } : {};
     const { address, zone } = options;
     const service = options.model ? 'texts' : 'plain';
-    const told = { service, address, zone, slots, state, beat, models };
-    return tell('PUT', JSON.stringify(told));
+    return JSON.stringify({ service, address, zone, slots, state, beat, models });
   };
+  const announce = (): Promise<boolean> => tell('PUT', nextBeat());
   const tell = async (method: string, body: string): Promise<boolean> => {
     const heard = await calls.call(options.cores[core]!, method, path, {}, body, announceMs);
     if (heard.status === 200) return true;
@@ -181,11 +183,16 @@
     stop: () => clearInterval(beats),
     depart: (how, gone) => {
       const run = async (): Promise<void> => {
-        state = 'draining';
         clearInterval(beats);
+        const lateBeat = nextBeat();
+        state = 'draining';
         while (!(await (how === 'draining' ? announce() : tell('DELETE', '')))) await world.sleep(againMs);
         saw({ kind: 'departed', at: world.now(), sampler: id, core: options.cores[core]! });
-        await world.sleep(drainMs + world.between(200, 2500));
+        const servesOnMs = drainMs + world.between(200, 2500);
+        const lateMs = Math.min(servesOnMs, world.between(lateBeatMs.least, lateBeatMs.most));
+        await world.sleep(lateMs);
+        await tell('PUT', lateBeat);
+        await world.sleep(servesOnMs - lateMs);
         if (how === 'draining') await tell('DELETE', '');
         gone();
       };
--- a/src/soak/soakChecks.ts
+++ b/src/soak/soakChecks.ts
@@ -1,5 +1,6 @@
 import { fleetCheckers } from '../sim/fleet/fleetCheckers.js';
 import type { Observation } from '../sim/fleet/observations.js';
+import { streamChecks } from './streamChecks.js';
 import { resources, type ResourceSample } from './resources.js';
 
 /** A promise that was broken; `timed` where the verdict rests on how fast this machine is. */
@@ -68,6 +69,7 @@
     list.map((what) => ({ rule, what, timed: false }));
   return [
     ...fleetCheckers.all(seen, outcome.whole).map((each) => ({ ...each, timed: timedRules.has(each.rule) })),
+    ...streamChecks.violations(seen).map((each) => ({ ...each, timed: false })),
     ...untimed('processes do not end by themselves', outcome.exits),
     ...outcome.overstayed.map((what) => ({ rule: 'a process ends within its grace', what, timed: true })),
     ...outcome.silences.map((what) => ({ rule: 'a request ends with an answer or a reset', what, timed: true })),
@@ -104,6 +106,8 @@
     requests: asked.length,
     served: servedOf(asked),
     quit: fleetCheckers.of(seen, 'quit').length,
+    streams: fleetCheckers.of(seen, 'streamed').length,
+    wholeStreams: fleetCheckers.of(seen, 'streamed').filter(({ status }) => status === 200).length,
     changes: fleetCheckers.of(seen, 'declared').filter((each) => each.status === 200).length,
     batches: fleetCheckers.of(seen, 'batchTaken').length,
     ended: fleetCheckers.of(seen, 'batchEnded').length,
--- a/src/soak/soakClients.ts
+++ b/src/soak/soakClients.ts
@@ -11,6 +11,8 @@
   readonly reader: () => void;
   /** Sends requests and leaves after a moment. */
   readonly quitter: (name: string) => void;
+  /** Asks for one stream after another on a kept connection, until the process behind it is gone. */
+  readonly streamer: (name: string) => void;
 };
 
 type Taken = {
@@ -25,6 +27,7 @@
 const waitMs = 400;
 const endAgainShare = 0.1;
 const bodyShare = 0.2;
+const streamMs = 6000;
 
 /** Makes the clients; batches are followed for as long as they are kept. */
 export const makeSoakClients = (options: {
@@ -113,5 +116,26 @@
       };
       void run();
     },
+    streamer: (name) => {
+      const calls = httpCalls(realEdge(name).transport);
+      const ask = async (front: string, attempt: string): Promise<number> => {
+        const key = fleetKeys.lasting('south').text;
+        const headers = { 'foxdeck-key': key, host: 'stream.fleet', 'foxdeck-attempt': attempt };
+        const sentAt = world.now();
+        const { status, body, headers: told } = await calls.call(front, 'POST', '/thing', headers, attempt, streamMs);
+        const stamped = told?.['foxdeck-stamp'] !== undefined;
+        saw({ kind: 'streamed', sentAt, at: world.now(), attempt, front, status, stamped, text: body });
+        return status;
+      };
+      const run = async (): Promise<void> => {
+        let front: string | undefined;
+        for (let number = 0; !options.over(); number += 1) {
+          await world.sleep(world.between(10, 120));
+          front ??= world.pick(fronts());
+          if ((await ask(front, `${name}-${number}`)) === 0) front = undefined;
+        }
+      };
+      void run();
+    },
   };
 };
--- a/src/soak/soakFaults.ts
+++ b/src/soak/soakFaults.ts
@@ -1,5 +1,6 @@
 import type { ExtraFault, FaultTools, FleetFaultKind } from '../sim/fleet/fleetFaults.js';
 import type { Role } from '../fleet/fleetTypes.js';
+import type { SpoiltHow } from './spoiltAnswers.js';
 import type { RealWorld } from './realWorld.js';
 import type { SoakFleet } from './soakFleet.js';
 import type { SoakMachine } from './soakMachine.js';
@@ -22,6 +23,7 @@
 ];
 
 const calmMs = 8000;
+const spoiltHows: ReadonlyArray<SpoiltHow> = ['surplus', 'status', 'stamp'];
 const machinesOfRoleMost = 4;
 
 /** Makes the faults that only real processes suffer: signals in series and overlapping, full disks, odd samplers. */
@@ -110,6 +112,13 @@
         },
       },
       samplerSilence: { weight: 1, act: () => fleet().silenceSampler(sampler(), span(1000, 6000)) },
+      samplerSpoils: {
+        weight: 3,
+        act: () => {
+          const oneIn = 2 + Math.floor(world.chance() * 20);
+          return fleet().spoilSampler(sampler(), world.pick(spoiltHows), oneIn, span(1000, 6000));
+        },
+      },
       samplerSlow: { weight: 1, act: () => fleet().slowSampler(sampler(), span(2, 20), span(1000, 6000)) },
     };
   };
--- a/src/soak/soakFleet.ts
+++ b/src/soak/soakFleet.ts
@@ -5,6 +5,7 @@
 import type { VirtualFleet } from '../sim/fleet/virtualFleet.js';
 import { virtualSampler, type VirtualSampler } from '../sim/fleet/virtualSampler.js';
 import { realEdge } from '../fleet/realEdge.js';
+import { makeAnswerSpoiler, type AnswerSpoiler, type SpoiltHow } from './spoiltAnswers.js';
 import { makeSocketTracker, type SocketTracker } from './socketTracker.js';
 import { freePorts } from '../dev/freePorts.js';
 import { strictBounds } from '../dev/strictBounds.js';
@@ -31,6 +32,8 @@
   readonly runningFronts: () => ReadonlyArray<string>;
   readonly silenceSampler: (place: number, ms: number) => string;
   readonly slowSampler: (place: number, times: number, ms: number) => string;
+  /** Has a sampler spoil one answer in so many, for a while. */
+  readonly spoilSampler: (place: number, how: SpoiltHow, oneIn: number, ms: number) => string;
   readonly end: () => Promise<void>;
 };
 
@@ -52,7 +55,12 @@
 const nowhere = '127.0.0.1:9';
 const counted = new Set<Role>(['core', 'store']);
 
-type Sampler = { readonly running: VirtualSampler; readonly sockets: SocketTracker; readonly id: string };
+type Sampler = {
+  readonly running: VirtualSampler;
+  readonly sockets: SocketTracker;
+  readonly spoiler: AnswerSpoiler;
+  readonly id: string;
+};
 
 /** Starts a fleet in a folder; all machines begin at once. */
 export const startSoakFleet = async (options: {
@@ -86,6 +94,11 @@
       exits.push(`${world.now().toFixed(0)} ${name}: ${how}`);
       options.events.exitedByItself(name, how);
     },
+    signalled: (name, how) => {
+      const front = listenOf({ name })?.front;
+      options.saw({ kind: 'signalled', at: world.now(), machine: name, front, how });
+      options.events.signalled(name, how);
+    },
   };
 
   const add = (role: Role, firstStart = false): SoakMachine => {
@@ -129,9 +142,10 @@
     places[place]!.life += 1;
     const id = `sampler-${place + 1}.${places[place]!.life}`;
     const sockets = makeSocketTracker(realEdge(id).transport);
+    const spoiler = makeAnswerSpoiler(sockets.transport, world.now);
     const running = virtualSampler.start({
       world,
-      transport: sockets.transport,
+      transport: spoiler.transport,
       id,
       address,
       zone: `zone-${(place % size.zones) + 1}`,
@@ -142,10 +156,11 @@
       calm: options.calm,
       inTouch: options.inTouch,
     });
-    samplers[place] = { running, sockets, id };
+    samplers[place] = { running, sockets, spoiler, id };
   };
   for (let place = 0; place < size.samplers; place += 1) startSampler(place);
   const stopSampler = (sampler: Sampler): void => {
+    options.saw({ kind: 'samplerEnded', at: world.now(), sampler: sampler.id });
     sampler.running.stop();
     sampler.sockets.close();
   };
@@ -210,6 +225,12 @@
       sampler.running.slow(times, ms);
       return `${sampler.id}, ${times.toFixed(1)} times as long`;
     },
+    spoilSampler: (place, how, oneIn, ms) => {
+      const sampler = steady(place);
+      if (!sampler) return 'none';
+      sampler.spoiler.spoil(how, oneIn, ms);
+      return `${sampler.id}, ${how}, one in ${oneIn}`;
+    },
     lines,
     exits,
     end: async () => {
--- a/src/soak/soakMachine.ts
+++ b/src/soak/soakMachine.ts
@@ -26,6 +26,8 @@
   /** A process did not end within its grace after SIGTERM, and was killed. */
   readonly overstayed: (name: string) => void;
   readonly notice: (name: string, what: string) => void;
+  /** A running process was told to stop, or was disturbed. */
+  readonly signalled: (name: string, how: 'stop' | 'disturb') => void;
 };
 
 const restartMs = 400;
@@ -98,12 +100,19 @@
     }, restartMs);
   };
   const signal = (which: NodeJS.Signals): void => void (alive() && child!.kill(which));
+  const disturb = (which: NodeJS.Signals): void => {
+    if (alive()) events.signalled(name, 'disturb');
+    signal(which);
+  };
   const kill = (): void => {
     expected = true;
     frozen = false;
-    signal('SIGKILL');
+    disturb('SIGKILL');
+  };
+  const trouble = (sent: NodeTrouble): void => {
+    if (sent.resetShare !== undefined) events.signalled(name, 'disturb');
+    if (alive() && child!.connected) child!.send(sent);
   };
-  const trouble = (sent: NodeTrouble): void => void (alive() && child!.connected && child!.send(sent));
   const current: VirtualProcess = {
     name,
     alive,
@@ -111,11 +120,11 @@
     kill,
     freeze: () => {
       frozen = true;
-      signal('SIGSTOP');
+      disturb('SIGSTOP');
     },
     thaw: () => {
       frozen = false;
-      signal('SIGCONT');
+      disturb('SIGCONT');
     },
     onEnd: (listener) => void ended.push(listener),
     wallOffsetMs: 0,
@@ -173,10 +182,12 @@
       if (!alive()) return;
       expected = true;
       const [stopping, mostMs] = [child!, settings.bounds.graceMs + graceSlackMs];
+      events.signalled(name, 'stop');
       stopping.kill('SIGTERM');
       const late = setTimeout(() => {
         if (stopping.exitCode !== null || stopping.signalCode !== null) return;
         if (!frozen) events.overstayed(name);
+        events.signalled(name, 'disturb');
         stopping.kill('SIGKILL');
       }, mostMs);
       await exited;
--- a/src/soak/soakRun.ts
+++ b/src/soak/soakRun.ts
@@ -63,6 +63,7 @@
 const progressEveryMs = 5000;
 const callers = 4;
 const quitters = 2;
+const streamers = 4;
 const trainers = 3;
 const operators = 2;
 /** Batches stay readable for this long after they were handed in; those older are looked at no more. */
@@ -96,6 +97,7 @@
       for (let nth = 1; nth <= trainers; nth += 1) working.trainer(`trainer-${nth}`);
       for (let nth = 1; nth <= callers; nth += 1) asking.caller(`caller-${nth}`);
       for (let nth = 1; nth <= quitters; nth += 1) extra.quitter(`quitter-${nth}`);
+      for (let nth = 1; nth <= streamers; nth += 1) extra.streamer(`streamer-${nth}`);
       extra.reader();
       extra.reader();
       changeProber.start({ world, fleet, seen: run.seen, over: allOver, inTouch: run.inTouch, late: run.late });
@@ -203,6 +205,7 @@
       exitedByItself: (name, how) => notes.line(`${name} ended by itself: ${how}`),
       overstayed: (name) => notes.overstayed.push(name),
       notice: (name, what) => notes.line(`${name}: ${what}`),
+      signalled: () => undefined,
     },
   });
   const late = (what: string): void => void notes.lateChanges.push(what);
