--- a/src/fleet/front/frontProgram.ts
+++ b/src/fleet/front/frontProgram.ts
@@ -15,10 +15,10 @@
 import { makeRefusalLog } from './refusalLog.js';
 import { makeRequestRouter } from './requestRouter.js';
 import { makeSamplerDirectory } from './samplerDirectory.js';
+import { stopTimesOf } from './stopTimes.js';
 import { makeStoreCalls } from './storeCalls.js';
 
 const channelsMost = 24;
-const readyWaitMs = 2300;
 const defaultBodyBytes = 32 * 1024 * 1024;
 
 /** Runs a front: it serves callers, and owns the samplers whose items it seats. */
@@ -138,11 +138,11 @@
       drain.leave();
       watcher.tell();
       const items = desks.leave(1500);
-      const most = settings.bounds.graceMs - 1200;
-      await new Promise((resolve) => setTimeout(resolve, Math.min(readyWaitMs, settings.bounds.graceMs * 0.3)));
+      const { closeMs, endMs } = stopTimesOf(settings.bounds.graceMs);
+      await new Promise((resolve) => setTimeout(resolve, closeMs));
       drain.close();
       await items;
-      await drain.idle(most - (now() - begun));
+      await drain.idle(endMs - (now() - begun));
       watcher.stop();
       readiness.close();
       client.close();
