--- a/src/fleet/front/desks.ts
+++ b/src/fleet/front/desks.ts
@@ -3,7 +3,7 @@
 import type { Advert, Grant, Partial } from '../fleetTypes.js';
 import type { FleetView } from '../watcher.js';
 import type { SamplerClient } from '../samplerClient.js';
-import type { ItemWord, WatchAnswer } from '../store/storeDesk.js';
+import type { ItemReport, WatchAnswer } from '../store/storeDesk.js';
 import { traffic } from '../traffic.js';
 import { runItem, type RunEnd } from './itemRun.js';
 import type { HedgeControl } from './hedgeControl.js';
@@ -16,7 +16,7 @@
 import { budget, type Running as Reckoned } from '../../policy/budget.js';
 import { makeOwners } from '../../policy/owners.js';
 import { makeRatings } from './ratings.js';
-import { makeWords } from './words.js';
+import { makeResultOutbox } from './resultOutbox.js';
 
 /** The desks of one front: for each sampler that it owns, which items run there. */
 export type Desks = {
@@ -89,10 +89,10 @@
   const outlived = new Set<string>();
   const noteOver = (sampler: string): void => void outlived.add(sampler);
   const loads = makeWeightLoads({ ...options, changed: () => schedule(), outlived: noteOver });
-  const words = makeWords({ channels, stores: options.stores, view, name: options.name, now, dropped: drop });
-  const say = (key: string, word: ItemWord): void => {
+  const outbox = makeResultOutbox({ channels, stores: options.stores, view, name: options.name, now, dropped: drop });
+  const say = (key: string, word: ItemReport): void => {
     release(key);
-    words.say(word);
+    outbox.send(word);
   };
 
   const versionAt = (desk: Desk, model: string): number =>
@@ -153,14 +153,14 @@
   const start = (grant: Grant & { readonly sampler: string }): void => {
     const desk = desks.get(grant.sampler);
     const key = keyOf(grant.lot, grant.item.id);
-    const back: ItemWord = { lot: grant.lot, id: grant.item.id, ...(grant.partial && { partial: grant.partial }) };
+    const back: ItemReport = { lot: grant.lot, id: grant.item.id, ...(grant.partial && { partial: grant.partial }) };
     const advert = known.get(grant.lot);
     if (items.has(key)) return;
-    if (!desk || leaving || !leased(advert)) return words.say(back);
+    if (!desk || leaving || !leased(advert)) return outbox.send(back);
     const { followed } = view();
     const binding = traffic.match(followed?.traffic, grant.host, grant.item.path);
     const serves = binding?.shares.some((share) => share.weight > 0 && share.service === desk.sampler.service);
-    if (!binding || !serves || desk.sampler.state !== 'ready') return words.say(back);
+    if (!binding || !serves || desk.sampler.state !== 'ready') return outbox.send(back);
     const model = advert!.advert.model;
     const version = loading(desk, model) ?? versionAt(desk, model);
     const entry: Running = { grant, sampler: desk.sampler, run: undefined, cancel: undefined };
@@ -311,7 +311,7 @@
             id: grant.item.id,
             sampler: sampler.id,
           })),
-          ...words.unsaid().map(({ lot, id }) => ({ lot, id, sampler: '' })),
+          ...outbox.pending().map(({ lot, id }) => ({ lot, id, sampler: '' })),
         ];
         const asked = now();
         const heard = (await channels.call(
@@ -394,7 +394,7 @@
         say(key, { lot: entry.grant.lot, id: entry.grant.item.id, ...(partial && { partial }) });
       }
       clearInterval(ticking);
-      await words.flush(800);
+      await outbox.flush(800);
     },
   };
 };
--- a/src/fleet/front/resultOutbox.ts
+++ b/src/fleet/front/resultOutbox.ts
@@ -1,12 +1,13 @@
 import type { Channels } from '../../edge/channels.js';
 import type { FleetView } from '../watcher.js';
-import type { ItemWord } from '../store/storeDesk.js';
+import type { ItemReport } from '../store/storeDesk.js';
 import type { StoreCalls } from './storeCalls.js';
 
-/** What a front has to say of items, said in batches to the lots' leaders until they took it. */
-export type Words = {
-  readonly say: (word: ItemWord) => void;
-  readonly unsaid: () => ReadonlyArray<ItemWord>;
+/** Reports of items on their way to the leaders of their lots: sent in batches, and again until they are taken. */
+export type ResultOutbox = {
+  readonly send: (report: ItemReport) => void;
+  /** Reports that no leader took yet. */
+  readonly pending: () => ReadonlyArray<ItemReport>;
   readonly flush: (mostMs: number) => Promise<void>;
 };
 
@@ -15,7 +16,7 @@
 const batchMost = 60;
 
 /** Makes a front's outbox. */
-export const makeWords = (options: {
+export const makeResultOutbox = (options: {
   readonly name: string;
   readonly channels: Channels;
   readonly stores: StoreCalls;
@@ -23,46 +24,46 @@
   readonly now: () => number;
   /** A lot is gone: nothing of it is wanted. */
   readonly dropped: (lot: string) => void;
-}): Words => {
+}): ResultOutbox => {
   const { channels, stores, view, now } = options;
-  const waiting = new Map<string, ItemWord>();
+  const waiting = new Map<string, ItemReport>();
   const sending = new Set<string>();
   let timer: NodeJS.Timeout | undefined;
-  const keyOf = (word: ItemWord): string => `${word.lot} ${word.id}`;
+  const keyOf = (report: ItemReport): string => `${report.lot} ${report.id}`;
 
   const seek = async (lot: string): Promise<void> => {
     try {
       const ask = { after: 1_000_000_000, waitMs: 0 };
       const heard = (await stores.call(lot, 'lot.read', ask, 1500, 600)) as { readonly unknown?: boolean };
       if (!heard.unknown) return;
-      for (const [key, word] of waiting) if (word.lot === lot) waiting.delete(key);
+      for (const [key, report] of waiting) if (report.lot === lot) waiting.delete(key);
       options.dropped(lot);
     } catch {
       // Its leader is sought again at the next round.
     }
   };
-  const send = async (store: string, words: ReadonlyArray<ItemWord>): Promise<void> => {
-    const keys = words.map(keyOf);
+  const deliver = async (store: string, reports: ReadonlyArray<ItemReport>): Promise<void> => {
+    const keys = reports.map(keyOf);
     for (const key of keys) sending.add(key);
     const sought = new Set<string>();
     try {
       const peer = view().members.get(store)?.peer;
       if (!peer) throw new Error('not present');
-      const body = { front: options.name, words };
+      const body = { front: options.name, words: reports };
       const heard = (await channels.call(peer, 'board.words', body, 2500)) as ReadonlyArray<'ok' | 'moved'>;
       heard.forEach((answer, place) => {
-        const word = words[place]!;
+        const report = reports[place]!;
         if (answer === 'ok') {
-          if (waiting.get(keys[place]!) === word) waiting.delete(keys[place]!);
+          if (waiting.get(keys[place]!) === report) waiting.delete(keys[place]!);
         } else {
-          if (stores.leader(word.lot) === store) stores.forget(word.lot);
-          sought.add(word.lot);
+          if (stores.leader(report.lot) === store) stores.forget(report.lot);
+          sought.add(report.lot);
         }
       });
     } catch {
-      for (const word of words) {
-        if (stores.leader(word.lot) === store) stores.forget(word.lot);
-        sought.add(word.lot);
+      for (const report of reports) {
+        if (stores.leader(report.lot) === store) stores.forget(report.lot);
+        sought.add(report.lot);
       }
     }
     for (const key of keys) sending.delete(key);
@@ -72,19 +73,19 @@
     } else if (waiting.size > sending.size) schedule(batchMs);
   };
   const round = (): void => {
-    const byStore = new Map<string, ItemWord[]>();
+    const byStore = new Map<string, ItemReport[]>();
     const lost = new Set<string>();
-    for (const [key, word] of waiting) {
+    for (const [key, report] of waiting) {
       if (sending.has(key)) continue;
-      const store = stores.leader(word.lot);
+      const store = stores.leader(report.lot);
       if (store === undefined) {
-        lost.add(word.lot);
+        lost.add(report.lot);
         continue;
       }
       const batch = byStore.get(store) ?? [];
-      if (batch.length < batchMost) byStore.set(store, [...batch, word]);
+      if (batch.length < batchMost) byStore.set(store, [...batch, report]);
     }
-    for (const [store, words] of byStore) void send(store, words);
+    for (const [store, reports] of byStore) void deliver(store, reports);
     if (lost.size > 0) void Promise.all([...lost].map(seek)).then(() => schedule(againMs));
   };
   const schedule = (ms: number): void => {
@@ -94,11 +95,11 @@
     }, ms);
   };
   return {
-    say: (word) => {
-      waiting.set(keyOf(word), word);
+    send: (report) => {
+      waiting.set(keyOf(report), report);
       schedule(batchMs);
     },
-    unsaid: () => [...waiting.values()],
+    pending: () => [...waiting.values()],
     flush: async (mostMs) => {
       const until = now() + mostMs;
       while (waiting.size > 0 && now() < until) {
--- a/src/fleet/store/storeDesk.ts
+++ b/src/fleet/store/storeDesk.ts
@@ -8,7 +8,7 @@
 import type { LotLeader } from './lotLeader.js';
 
 /** What a front says of an item: its result, or that it comes back. */
-export type ItemWord = {
+export type ItemReport = {
   readonly lot: string;
   readonly id: string;
   readonly result?: LotResult;
@@ -228,7 +228,7 @@
     }
     return Promise.resolve({ grants, adverts: [...told.values()] });
   };
-  const word = async (front: string, each: ItemWord): Promise<'ok' | 'moved'> => {
+  const word = async (front: string, each: ItemReport): Promise<'ok' | 'moved'> => {
     const led = options.leader().get(each.lot);
     if (!led || led.chosen < led.found) return 'moved';
     const { state } = led;
@@ -259,7 +259,7 @@
     'lot.end': end,
     'board.watch': watch,
     'board.pull': pull,
-    'board.words': ({ front, words }: { front: string; words: ReadonlyArray<ItemWord> }) =>
+    'board.words': ({ front, words }: { front: string; words: ReadonlyArray<ItemReport> }) =>
       Promise.all(words.map((each) => word(front, each))),
   };
   return {
