A store that stops leaves the batches it was writing in doubt, as fronts hear it now

A store that stops ends its leading and fails what is being written as "may have been done" (`Fault.unknown`). The answer that turned the front's call away carried a reason only, so the front took it for not done, and promised 503 for a batch where no other store was reached in time, though an entry of it may stand on a disk and be found later (REFUSED).

Change: `Bounce` carries `unknown`; `serveCalls` sets it from the Fault, and for errors that no handler foresaw; `channels.call` hands it on. Where a store can't lead a batch that is handed in, nothing of it was written, and the refusal says so.

--- a/src/edge/channels.ts
+++ b/src/edge/channels.ts
@@ -188,8 +188,9 @@
       const asked = answers.ask({ case: 'call', value: { name, ...packing.pack(body) } });
       const { kind } = await ask(address, asked, timeLeftMs);
       if (kind.case === 'call') return packing.unpack(kind.value);
-      const reason = kind.case === 'bounce' ? kind.value.reason : 'odd answer';
-      throw new Fault({ step: name, cohortMember: address, reason });
+      if (kind.case !== 'bounce') throw new Fault({ step: name, cohortMember: address, reason: 'odd answer' });
+      const { reason, unknown } = kind.value;
+      throw new Fault({ step: name, cohortMember: address, reason, ...(unknown && { unknown }) });
     },
     bytes: () => ({ ...counted }),
     close: () => {
--- a/src/fleet/serveCalls.ts
+++ b/src/fleet/serveCalls.ts
@@ -2,6 +2,7 @@
 import { packing } from '../edge/packing.js';
 import type { Answer, Ask } from '../gen/foxdeck_pb.js';
 import { answers } from '../shared/answers.js';
+import { Fault } from '../shared/fault.js';
 import type { ProgramTools } from './program.js';
 
 /** Serves calls by name, and what else is asked; a call that fails is answered with its reason. */
@@ -19,7 +20,9 @@
     const bounced = (cause: unknown): void => {
       const reason = cause instanceof Error ? cause.message : String(cause);
       if (!(cause instanceof Error && '_tag' in cause)) log.event('call_failed', { call: name, reason });
-      reply(answers.bounce(name, reason));
+      // An error that no handler foresaw may have come in the middle of its work.
+      const unknown = !(cause instanceof Fault) || cause.unknown === true;
+      reply(answers.bounce(name, reason, 0, unknown));
     };
     try {
       const work = handle(name, packing.unpack(ask.kind.value));
--- a/src/fleet/store/storeDesk.ts
+++ b/src/fleet/store/storeDesk.ts
@@ -5,7 +5,7 @@
 import type { Advert, Grant, LotBody, LotResult, LotValue, Partial } from '../fleetTypes.js';
 import { makeLotBoard, type LotBoard } from './lotBoard.js';
 import type { Led } from './lotCopies.js';
-import type { LotLeader } from './lotLeader.js';
+import type { LotLeader, NotLed } from './lotLeader.js';
 
 /** What a front says of an item: its result, or that it comes back. */
 export type ItemReport = {
@@ -125,8 +125,16 @@
   type Asked = { readonly lot: string; readonly force: boolean; readonly caller?: Caller };
   /** Nobody but its tenant learns of a lot or changes it. */
   const foreign = (led: Led, caller: Caller | undefined): boolean => !tenantKeys.mayUse(led.state.body?.tenant, caller);
+  /** Leads a lot that is handed in; where it can't, nothing of the lot was written by this call. */
+  const leadNew = async (lot: string, force: boolean): Promise<Led | NotLed> => {
+    try {
+      return await options.leader().lead(lot, { force, make: true });
+    } catch (cause) {
+      throw new Fault({ step: 'lead lot', reason: `${lot}: ${String(cause)}`, unknown: false });
+    }
+  };
   const create = async ({ lot, force, caller, body }: Asked & { body: LotBody }): Promise<unknown> => {
-    const led = await options.leader().lead(lot, { force, make: true });
+    const led = await leadNew(lot, force);
     if (!('state' in led)) return led;
     if (!led.state.body) await options.leader().propose(led, { kind: 'lot', body });
     if (foreign(led, caller)) return { foreign: true };
--- a/src/shared/answers.ts
+++ b/src/shared/answers.ts
@@ -9,7 +9,8 @@
 export const answers = {
   ask: (kind: AskKind): Ask => create(AskSchema, { kind }),
   answer: (kind: AnswerKind): Answer => create(AnswerSchema, { kind }),
-  bounce: (step: string, reason: string, token = 0): Answer =>
-    create(AnswerSchema, { kind: { case: 'bounce', value: { step, reason, token } } }),
+  /** `unknown` where what was asked may have been done all the same. */
+  bounce: (step: string, reason: string, token = 0, unknown = false): Answer =>
+    create(AnswerSchema, { kind: { case: 'bounce', value: { step, reason, token, unknown } } }),
   done: (): Answer => create(AnswerSchema, { kind: { case: 'done', value: {} } }),
 };
