A sampler that is gone has its idle connections closed, not those with an answer under way

Callers saw: a sampler that leaves by DELETE serves on, but streams under way there were cut within 50 ms of its DELETE (LOST); short once-only requests ended in doubt (504).

Cause: a front forgets the address of a sampler that is gone; `forget` destroyed the agent, and Node's `Agent.destroy` ends the connections in use as well.

Change: `forget` closes the idle connections and lets the agent keep none, so that each of the others is closed after its answer.

Evidence: `waitingCalls.test.ts`, "an address that is forgotten": failed before, passes after.

--- a/src/fleet/samplerClient.ts
+++ b/src/fleet/samplerClient.ts
@@ -37,7 +37,7 @@
   readonly idle: (address: string, once?: boolean) => boolean;
   /** Fails the calls to an address that still wait for a connection: no byte of them was sent. */
   readonly withdraw: (address: string) => void;
-  /** Closes the idle connections to an address that is not used any more. */
+  /** Closes the connections to an address that is not used any more: idle ones now, others after their answer. */
   readonly forget: (address: string) => void;
   /** Closes all connections. */
   readonly close: () => void;
@@ -69,6 +69,9 @@
 const isFinal = (status: number | undefined): status is number =>
   status !== undefined && status >= finalStatus.least && status <= finalStatus.most;
 
+/** Node's agent; where it does not keep connections, it closes each after its answer. */
+type KeepAliveAgent = Agent & { keepAlive: boolean };
+
 type Warning = { readonly at: number; readonly idleMs: number };
 
 /** Makes a process's client; a connection on which anything was odd is never used again. */
@@ -83,12 +86,12 @@
   const idleSince = new WeakMap<Socket, number>();
   /** The shortest idle time after which an address had forgotten a connection, of late. */
   const warnings = new Map<string, Warning>();
-  const agents = new Map<string, Agent>();
+  const agents = new Map<string, KeepAliveAgent>();
   /** How to fail the calls that wait for a connection, by address. */
   const waiting = new Map<string, Set<() => void>>();
   let calls = 0;
   let connections = 0;
-  const agentOf = (address: string): Agent => {
+  const agentOf = (address: string): KeepAliveAgent => {
     const known = agents.get(address);
     if (known) return known;
     const agent = new Agent({
@@ -97,7 +100,7 @@
       maxFreeSockets: channelsMost,
       scheduling: 'lifo',
       timeout: idleMostMs,
-    });
+    }) as KeepAliveAgent;
     if (connect) agent.createConnection = () => connect(address) as Socket;
     // Bytes on an idle connection belong to no request: it goes.
     agent.on('free', (socket: Socket) => {
@@ -243,8 +246,12 @@
     },
     forget: (address) => {
       warnings.delete(address);
-      agents.get(address)?.destroy();
+      const agent = agents.get(address);
+      if (!agent) return;
       agents.delete(address);
+      // A sampler that said its farewell serves on; only the agent's own `destroy` would cut what is under way there.
+      agent.keepAlive = false;
+      for (const sockets of Object.values(agent.freeSockets)) for (const socket of sockets ?? []) socket.destroy();
     },
     close: () => {
       for (const agent of agents.values()) agent.destroy();
--- a/src/soak/streamChecks.ts
+++ b/src/soak/streamChecks.ts
@@ -1,13 +1,19 @@
+import { strictBounds } from '../dev/strictBounds.js';
 import { fleetCheckers, type FleetViolation } from '../sim/fleet/fleetCheckers.js';
 import type { Observation } from '../sim/fleet/observations.js';
 import { virtualSampler } from '../sim/fleet/virtualSampler.js';
 
 type Streamed = Extract<Observation, { readonly kind: 'streamed' }>;
+type Signalled = Extract<Observation, { readonly kind: 'signalled' }>;
 type Seen = ReadonlyArray<Observation>;
 
 const refusals = new Set([408, 421, 429, 503]);
 /** A front that stops passes on nothing that comes later than this. */
 const lateMs = 3000;
+/** So long after the end of its grace a front's stop is judged. */
+const afterGraceMs = 1000;
+/** So many answers may be cut at any time: a reset that nobody noted. */
+const cutMost = 3;
 /** A disturbance counts for so long before a request. */
 const disturbedMs = 3000;
 
@@ -31,14 +37,17 @@
   return disturbed || ended;
 };
 
-/** Streams that a front passed on long after it was told to stop, and then cut. */
-const cutLate = (seen: Seen, stream: Streamed, samplers: ReadonlyArray<string>): ReadonlyArray<FleetViolation> => {
-  if (stream.status !== 0 || samplers.length === 0) return [];
+/** The stop under which a front took a stream, where it was told to stop of late. */
+const stopOf = (seen: Seen, stream: Streamed): Signalled | undefined => {
   const stop = fleetCheckers
     .of(seen, 'signalled')
     .filter(({ how, front, at }) => how === 'stop' && front === stream.front && at < stream.sentAt)
     .at(-1);
-  if (!stop || stream.sentAt < stop.at + lateMs || excused(seen, stream, samplers)) return [];
+  return stop && stream.at < stop.at + strictBounds.graceMs + afterGraceMs ? stop : undefined;
+};
+/** Streams that a front passed on long after it was told to stop, and then cut. */
+const cutLate = (stream: Streamed, stop: Signalled | undefined): ReadonlyArray<FleetViolation> => {
+  if (!stop || stream.sentAt < stop.at + lateMs) return [];
   const late = (stream.sentAt - stop.at).toFixed(0);
   const what = `${stream.attempt}, sent ${late} ms after ${stop.machine} was told to stop`;
   return [{ rule: 'a front that stops cuts nothing that came late', what }];
@@ -63,9 +72,16 @@
     const ran = new Map<string, string[]>();
     for (const { attempt, sampler } of fleetCheckers.of(seen, 'ran'))
       ran.set(attempt, [...(ran.get(attempt) ?? []), sampler]);
-    return fleetCheckers.of(seen, 'streamed').flatMap((stream) => {
+    const streams = fleetCheckers.of(seen, 'streamed');
+    const found = streams.flatMap((stream) => answerOf(stream, ran.get(stream.attempt)?.length ?? 0));
+    const cut = streams.filter((stream) => {
       const samplers = ran.get(stream.attempt) ?? [];
-      return [...answerOf(stream, samplers.length), ...cutLate(seen, stream, samplers)];
+      return stream.status === 0 && samplers.length > 0 && !excused(seen, stream, samplers);
     });
+    const late = cut.flatMap((stream) => cutLate(stream, stopOf(seen, stream)));
+    const atAnyTime = cut.filter((stream) => stopOf(seen, stream) === undefined).map(({ attempt }) => attempt);
+    const tooMany = atAnyTime.length > cutMost;
+    const cuts = { rule: 'a front cuts no answer of a sound sampler', what: atAnyTime.join(' ') };
+    return [...found, ...late, ...(tooMany ? [cuts] : [])];
   },
 };
--- a/src/tests/waitingCalls.test.ts
+++ b/src/tests/waitingCalls.test.ts
@@ -32,6 +32,34 @@
   return { client, sampler, ends, call, answer, arrived };
 };
 
+describe('an address that is forgotten', () => {
+  test('cuts no call that is under way there, and closes its connection after the answer', async () => {
+    const { client, sampler, ends, call, answer, arrived } = await begin(2);
+    call('a');
+    await turns.until(() => arrived().length === 1);
+    client.forget(sampler.address);
+    await turns.pass(20);
+    expect(ends.size).toBe(0);
+    const { socket } = sampler.asks[0]!;
+    answer();
+    await turns.until(() => ends.has('a'));
+    expect(ends.get('a')).toBe('ended');
+    await turns.until(() => socket.destroyed || socket.readableEnded);
+    expect(client.idle(sampler.address)).toBe(false);
+  });
+  test('has its idle connections closed at once', async () => {
+    const { client, sampler, ends, call, answer, arrived } = await begin(2);
+    call('a');
+    await turns.until(() => arrived().length === 1);
+    answer();
+    await turns.until(() => ends.has('a'));
+    await turns.until(() => client.idle(sampler.address));
+    client.forget(sampler.address);
+    const { socket } = sampler.asks[0]!;
+    await turns.until(() => socket.destroyed || socket.readableEnded);
+  });
+});
+
 describe('calls that wait for a connection to a sampler that leaves', () => {
   test('are withdrawn, known not to be sent; those under way go on', async () => {
     const { client, sampler, ends, call, answer, arrived } = await begin(1);
