--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -1,92 +1,69 @@
-// A sampler crashes while it runs items of lots with answers that have no length. Counted: results that are listed as
-// `completed` though their text is not the item's whole output.
+// A sampler crashes while it sends streams whose answers have no length. Counted: streams that clients get as complete
+// answers although pieces are missing; those that end in the middle of an event are named.
 import { spawn } from 'node:child_process';
+import http from 'node:http';
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { call, limitsOfClients, pause, randomId, runCase, startFleet } from '../lib2/fleet.mjs';
-import { startSampler } from '../lib2/sampler.mjs';
+import { limitsOfClients, pause, randomId, runCase, startFleet } from '../lib2/fleet.mjs';
 
 const folder = dirname(fileURLToPath(import.meta.url));
 const host = 'ficu95.example';
-const [coach, app, model] = ['huvo11a', 'wuno96b', 'daka510000'];
+const service = 'huvo11a';
 const eventCount = 10;
-const [groups, groupSize] = [6, 4];
-const lotEachMs = 1200;
-const seconds = 50;
+const perSecond = 14;
+const seconds = 45;
 const downMs = 4500;
-const wholeOf = (identity) => Array.from({ length: eventCount }, (_, k) => `${identity} event-${k + 1}`).join('\n');
 
 await runCase(folder, async ({ record, trouble, closing }) => {
   const fleet = await startFleet({ counts: { core: 3, store: 3, front: 3 }, record });
   closing.push(fleet.stop);
   const samplers = [];
   const start = (k) => {
-    samplers[k] = spawn(process.execPath, [join(folder, '../lib2/streamer.mjs'), coach, fleet.samplerHost(k), fleet.of('front')[k % 3].zone, fleet.controls.join(','), '12', model], { stdio: 'inherit' });
+    const child = spawn(process.execPath, [join(folder, '../lib2/streamer.mjs'), service, fleet.samplerHost(k), fleet.of('front')[k % 3].zone, fleet.controls.join(','), '12'], { stdio: 'inherit' });
+    samplers[k] = child;
   };
   for (let k = 0; k < 6; k += 1) start(k);
   closing.push(() => samplers.forEach((child) => child.kill('SIGKILL')));
   process.once('exit', () => samplers.forEach((child) => child.kill('SIGKILL')));
-  for (let k = 0; k < 2; k += 1) {
-    const sampler = await startSampler({ service: app, host: fleet.samplerHost(6 + k), zone: fleet.of('front')[k].zone, controls: fleet.controls, slots: 6, work: () => ({ ms: 30, body: 'rated' }) });
-    closing.push(sampler.close);
-  }
-  const route = { host, priorityLevel: 1, targetLatencyMs: 400 };
   await fleet.configure(
     {
       versionNumber: 5,
-      routeTable: [
-        { ...route, name: 'r-drill', pathPrefix: '/pule252/', routeType: 'rollout', timeoutMs: 20000, serviceRef: coach, maxAttempts: 3, resultTargetMs: 12000, maxWaitS: 60 },
-        { ...route, name: 'r-sync', pathPrefix: '/pufi791/', routeType: 'idempotent', timeoutMs: 2000, serviceRef: app, maxAttempts: 4 },
-      ],
-      services: [
-        { name: coach, healthPath: '/health', maxConnections: 160, protocol: 'h1', tls: false, engine: { slotCount: 12, kvTokenCapacity: 123037, kvTokenBytes: 18432, linkMbps: 2900000, stride: 1, modelList: [{ name: model }] } },
-        { name: app, healthPath: '/health', maxConnections: 110, protocol: 'h1', tls: false },
-      ],
+      routeTable: [{ name: 'r-stream', host, pathPrefix: '/lohu930/', routeType: 'streaming', timeoutMs: 8000, targetLatencyMs: 400, priorityLevel: 1, serviceRef: service, maxAttempts: 2 }],
+      services: [{ name: service, healthPath: '/health', maxConnections: 160, protocol: 'h1', tls: false }],
       limits: limitsOfClients,
     },
     0,
   );
   await fleet.ready();
-  await pause(2500);
+  await pause(2000);
 
   const fronts = fleet.of('front').map(fleet.frontOf);
-  const anyFront = () => fronts[Math.floor(Math.random() * fronts.length)];
-  const lots = [];
-  let step = 0;
-  const trainer = async () => {
-    const id = randomId();
-    const requests = Array.from({ length: groups * groupSize }, (_, k) => {
-      const identity = randomId();
-      return {
-        identity, path: `/pule252/3/${identity.slice(0, 4)}`, body: 'q83vEjRWeJA=', tokenCount: 1100, groupId: `g${step}-${Math.floor(k / groupSize)}`,
-        headers: { 'Foxdeck-Model-Id': model, 'Foxdeck-Token-Count': '1016,80', 'Foxdeck-Prompt-Prefix': `9c2e${step.toString(16)}:1000,${identity.slice(0, 8)}:16` },
-        scoringCall: { identity: randomId(), host, path: '/pufi791/5e07', body: '3q2+7w==' },
-      };
+  const answers = [];
+  const ask = () =>
+    new Promise((done) => {
+      const attempt = randomId();
+      const [address, port] = fronts[Math.floor(Math.random() * fronts.length)].split(':');
+      const answer = { attempt, status: 0, complete: false, text: '' };
+      answers.push(answer);
+      const sent = http.request({
+        host: address, port: Number(port), method: 'POST', path: `/lohu930/${attempt.slice(0, 2)}`, agent: false,
+        headers: { Host: host, 'Foxdeck-Attempt-Id': attempt, 'Foxdeck-Remaining-Time-Ms': '6000', 'Content-Length': '0' },
+      }, (message) => {
+        answer.status = message.statusCode;
+        message.on('data', (chunk) => (answer.text += chunk));
+        message.on('error', () => undefined);
+        message.on('close', () => {
+          answer.complete = message.complete;
+          done();
+        });
+      });
+      sent.on('error', () => done());
+      sent.end();
     });
-    const lot = { id, results: [] };
-    lots.push(lot);
-    const body = JSON.stringify({ step: step++, modelId: model, minVersion: 1, wanted: groups, requests });
-    let taken = false;
-    for (let tried = 0; tried < 10 && !taken; tried += 1) {
-      taken = await call(anyFront(), { method: 'POST', path: '/pule252/7c41e0', body, timeoutMs: 3000, headers: { Host: host, 'Foxdeck-Attempt-Id': id, 'Content-Type': 'application/json' } }).then(({ status }) => status === 202, () => false);
-      if (!taken) await pause(300);
-    }
-    const until = Date.now() + 15_000;
-    while (lot.results.length < requests.length && Date.now() < until) {
-      try {
-        const { status, body: bytes } = await call(anyFront(), { path: `/api/lots/${id}?afterCursor=${lot.results.length}`, timeoutMs: 2500, headers: { Host: host, 'Foxdeck-Wait-Time-Ms': '1000' } });
-        if (status === 200) lot.results.push(...JSON.parse(bytes.toString()).results);
-      } catch {
-        // It is read again.
-      }
-      await pause(400);
-    }
-    await call(anyFront(), { method: 'DELETE', path: `/api/lots/${id}`, timeoutMs: 2500, headers: { Host: host } }).catch(() => undefined);
-  };
   const open = new Set();
   const until = Date.now() + seconds * 1000;
   const crashing = (async () => {
-    await pause(4000);
+    await pause(3000);
     for (let crash = 0; trouble && Date.now() < until - 6000; crash += 1) {
       const k = crash % 6;
       record(`sampler ${k} crashes (SIGKILL)`);
@@ -97,25 +74,26 @@
     }
   })();
   while (Date.now() < until) {
-    const one = trainer().finally(() => open.delete(one));
+    const one = ask().finally(() => open.delete(one));
     open.add(one);
-    await pause(lotEachMs);
+    await pause((-Math.log(1 - Math.random()) * 1000) / perSecond);
   }
+  await Promise.all(open);
   await crashing;
-  await Promise.race([Promise.all(open), pause(15_000)]);
 
   const broken = [];
-  const counts = { whole: 0, short: 0, abandoned: 0 };
-  for (const lot of lots)
-    for (const { identity, state, text, score } of lot.results) {
-      const events = text === '' ? 0 : text.split('\n').length;
-      const what = state !== 'completed' ? 'abandoned' : text === wholeOf(identity) ? 'whole' : 'short';
-      counts[what] += 1;
-      record(`lot ${lot.id} item ${identity} ${state}, ${events} events, score ${score}`);
-      if (what === 'short') broken.push(`MIXED: ${identity} of lot ${lot.id} is completed and scored with ${events} of its ${eventCount} events`);
-    }
+  const counts = { whole: 0, cut: 0, refused: 0, short: 0 };
+  for (const { attempt, status, complete, text } of answers) {
+    const events = text.split('\n\n').length - 1;
+    const inside = !text.endsWith('\n\n');
+    const what = status !== 200 ? 'refused' : !complete ? 'cut' : events < eventCount ? 'short' : 'whole';
+    counts[what] += 1;
+    record(`${attempt} status ${status}, ${complete ? 'complete' : 'cut'}, ${events} events${inside && text ? ', ends in the middle of an event' : ''}`);
+    if (what === 'short')
+      broken.push(`ORDER: ${attempt} came as a complete answer with ${events} of ${eventCount} events${inside ? ', ending in the middle of an event' : ''}: ...${JSON.stringify(text.slice(-50))}`);
+  }
   record(JSON.stringify(counts));
   console.log(JSON.stringify(counts));
-  if (counts.whole < 200) throw new Error('too few items were served');
+  if (counts.whole < 100) throw new Error('too few streams were served');
   return broken;
 });
