--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -7,23 +7,25 @@
 
 const host = 'ficu95.example';
 const service = 'wuno96b';
-const seconds = 80;
-const perSecond = 44;
-/** The share of the samplers that spoil answers, and of their answers: the dose of `garble` (.5, .02). */
-const spoilt = { samplers: 0.5, answers: 0.02 };
+const seconds = 88;
+const perSecond = 46;
+/** The share of the samplers that spoil answers and of their answers, and for how long at a time: `garble` on the pages. */
+const spoilt = { samplers: 0.5, answers: 0.03, forMs: 5000, eachMs: 7000 };
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async ({ record, trouble, closing }) => {
   const fleet = await startFleet({ counts: { core: 3, store: 3, front: 4 }, record });
   closing.push(fleet.stop);
   const samplers = [];
   let copies = 0;
+  let begun = Infinity;
   for (let k = 0; k < 2; k += 1) {
     const spoils = trouble && k < 2 * spoilt.samplers;
     const sampler = await startSampler({
       service, host: fleet.samplerHost(k), zone: fleet.of('front')[k].zone, controls: fleet.controls, slots: 6, record,
       work: () => ({ ms: 200 + 200 * Math.random(), body: 'x'.repeat(800) }),
       answered: (bytes, ask, status) => {
-        if (!spoils || Math.random() >= spoilt.answers) return undefined;
+        const inTrouble = spoils && Date.now() >= begun && (Date.now() - begun) % spoilt.eachMs < spoilt.forMs;
+        if (!inTrouble || Math.random() >= spoilt.answers) return undefined;
         copies += 1;
         record(`a second copy of the ${status} to ${ask.attempt} is to come late`);
         return bytes;
@@ -43,6 +45,7 @@
   );
   await fleet.ready();
   await pause(1500);
+  begun = Date.now() + 2000;
 
   const statuses = {};
   const said = new Map();
