--- a/review/lib2/overlap.mjs
+++ b/review/lib2/overlap.mjs
@@ -1,6 +1,6 @@
 // Lots under troubles that overlap beyond what may be lost at once (no disk is lost): kills, freezes and stops of any number
 // of stores, cores and fronts, drawn at random; positions, texts, scores, bodies and ends of all lots are checked. No case: it
-// failed in two of twenty plays, each time otherwise (REPORT-2.md). Run it after the build of the deploy file:
+// failed in two of 26 plays, each time otherwise (REPORT-2.md). Run it after the build of the deploy file:
 //     MODE=stores STORES=4 SECS=95 node review/lib2/overlap.mjs
 import { mkdtempSync } from 'node:fs';
 import { tmpdir } from 'node:os';
