--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -7,24 +7,27 @@
 
 const host = 'ficu95.example';
 const service = 'wuno96b';
-const seconds = 88;
-const perSecond = 46;
-/** The share of the samplers that spoil answers and of their answers, and for how long at a time: `garble` on the pages. */
-const spoilt = { samplers: 0.5, answers: 0.03, forMs: 5000, eachMs: 7000 };
+const seconds = 11;
+const frontCount = 40;
+/** Clients that send one request after the other, each to one front. */
+const clients = 60;
+/** `garble` as the site file has it: the share of the samplers, of their answers, and for how long, once. */
+const spoilt = { samplers: 0.6, answers: 0.03, forMs: 5000 };
+const samplerCount = 5;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async ({ record, trouble, closing }) => {
-  const fleet = await startFleet({ counts: { core: 3, store: 3, front: 4 }, record });
+  const fleet = await startFleet({ counts: { core: 3, store: 3, front: frontCount }, record });
   closing.push(fleet.stop);
   const samplers = [];
   let copies = 0;
   let begun = Infinity;
-  for (let k = 0; k < 2; k += 1) {
-    const spoils = trouble && k < 2 * spoilt.samplers;
+  for (let k = 0; k < samplerCount; k += 1) {
+    const spoils = trouble && k < samplerCount * spoilt.samplers;
     const sampler = await startSampler({
       service, host: fleet.samplerHost(k), zone: fleet.of('front')[k].zone, controls: fleet.controls, slots: 6, record,
-      work: () => ({ ms: 200 + 200 * Math.random(), body: 'x'.repeat(800) }),
+      work: () => ({ ms: 80 + 160 * Math.random(), body: 'x'.repeat(800) }),
       answered: (bytes, ask, status) => {
-        const inTrouble = spoils && Date.now() >= begun && (Date.now() - begun) % spoilt.eachMs < spoilt.forMs;
+        const inTrouble = spoils && Date.now() >= begun && Date.now() < begun + spoilt.forMs;
         if (!inTrouble || Math.random() >= spoilt.answers) return undefined;
         copies += 1;
         record(`a second copy of the ${status} to ${ask.attempt} is to come late`);
@@ -37,7 +40,7 @@
   await fleet.configure(
     {
       versionNumber: 5,
-      routeTable: [{ name: 'r-invoice', host, pathPrefix: '/pufi791/', routeType: 'non_idempotent', timeoutMs: 2000, targetLatencyMs: 438, priorityLevel: 2, serviceRef: service, maxAttempts: 4 }],
+      routeTable: [{ name: 'r-invoice', host, pathPrefix: '/pufi791/', routeType: 'non_idempotent', timeoutMs: 2000, targetLatencyMs: 162, priorityLevel: 2, serviceRef: service, maxAttempts: 4 }],
       services: [{ name: service, healthPath: '/health', maxConnections: 110, protocol: 'h1', tls: false }],
       limits: limitsOfClients,
     },
@@ -45,14 +48,13 @@
   );
   await fleet.ready();
   await pause(1500);
-  begun = Date.now() + 2000;
+  begun = Date.now() + 3000;
 
   const statuses = {};
   const said = new Map();
   const fronts = fleet.of('front').map(fleet.frontOf);
-  const send = async () => {
+  const send = async (front) => {
     const attempt = randomId();
-    const front = fronts[Math.floor(Math.random() * fronts.length)];
     let status;
     try {
       ({ status } = await call(front, {
@@ -65,14 +67,11 @@
     statuses[status] = (statuses[status] ?? 0) + 1;
     said.set(attempt, status);
   };
-  const open = new Set();
   const until = Date.now() + seconds * 1000;
-  while (Date.now() < until) {
-    const one = send().finally(() => open.delete(one));
-    open.add(one);
-    await pause((-Math.log(1 - Math.random()) * 1000) / perSecond);
-  }
-  await Promise.all(open);
+  const client = async (front) => {
+    while (Date.now() < until) await send(front);
+  };
+  await Promise.all(Array.from({ length: clients }, (_, k) => client(fronts[k % frontCount])));
   await pause(500);
 
   const runsOf = new Map();
@@ -84,6 +83,6 @@
   for (const [attempt, all] of runsOf)
     if (all.length > 1) broken.push(`TWICE: ${attempt} (non_idempotent) ran ${all.length} times: ${all.map((run) => `${run.sampler} at ${run.at}`).join(', ')}; answered ${said.get(attempt)}`);
     else if (said.get(attempt) === 503 || said.get(attempt) === 429) broken.push(`REFUSED: ${attempt} ran at ${all[0].sampler} and was answered ${said.get(attempt)}`);
-  if (said.size < 1000 || !(statuses[200] > 500)) throw new Error('too few requests were served');
+  if (!(statuses[200] > 100)) throw new Error('too few requests were served');
   return broken;
 });
