--- a/src/fleet/front/itemRun.ts
+++ b/src/fleet/front/itemRun.ts
@@ -2,6 +2,7 @@
 import type { Dialect } from '../dialect.js';
 import type { Grant, Partial, Sampler } from '../fleetTypes.js';
 import type { SamplerClient } from '../samplerClient.js';
+import { makeEventTail } from './eventTail.js';
 import { samplerAnswer } from './samplerAnswer.js';
 
 /** How one run of an item ended. */
@@ -49,7 +50,7 @@
   let notRun = false;
   let over = false;
   let heardAt = now();
-  let tail = '\n\n';
+  const tail = makeEventTail();
 
   const kept = (): Partial | undefined =>
     events.length === 0 || lastId === undefined || (single && versions.size > 1)
@@ -99,11 +100,11 @@
     data: (chunk) => {
       heardAt = now();
       if (status !== 200 || over) return;
-      tail = `${tail}${chunk as string}`.slice(-4);
+      tail.feed(chunk);
       parser.feed(chunk as string);
     },
     ended: () => {
-      if (status === 200 && !/(\r\n|\n|\r){2}$/.test(tail))
+      if (status === 200 && tail.place() === 'inside')
         finish({ kind: 'cut', partial: kept(), reason: 'ended inside an event', suspect: true });
       else if (status === 200 && events.length > 0)
         finish({ kind: 'whole', text: events.join('\n'), versions: [...versions] });
--- a/src/fleet/front/ordinaryAsks.ts
+++ b/src/fleet/front/ordinaryAsks.ts
@@ -6,6 +6,7 @@
 import { traffic } from '../traffic.js';
 import { attempts } from './attempts.js';
 import type { HedgeControl } from './hedgeControl.js';
+import { makeEventTail, type EventTail } from './eventTail.js';
 import { samplerAnswer } from './samplerAnswer.js';
 import type { SamplerDirectory } from './samplerDirectory.js';
 
@@ -33,6 +34,13 @@
 };
 
 const networkMs = 4;
+/** For so long a sampler that failed a stream is passed by where there are others. */
+const ejectionMs = 400;
+const failureStatus = 300;
+const isEventStream = (status: number, { headers }: IncomingMessage): boolean =>
+  status < failureStatus &&
+  /^text\/event-stream\b/i.test(headers['content-type'] ?? '') &&
+  headers['content-encoding'] === undefined;
 const retryAfterMs = 300;
 
 const callOf =
@@ -109,6 +117,8 @@
     const began = now();
     let passing = false;
     let notRun = false;
+    /** Set while a stream of events is passed on. */
+    let tail: EventTail | undefined;
     const call = callOf(tools, ask, head.resumeAfter)(sampler, deadline - now());
     const events: CallEvents = {
       head: (status, answered) => {
@@ -122,6 +132,7 @@
         notRun = kind === 'notRun';
         if (notRun) return;
         passing = true;
+        if (isEventStream(status, answered)) tail = makeEventTail();
         response.writeHead(status, {
           ...dialect.passedBack(answered.rawHeaders),
           ...(leaving() && { connection: 'close' }),
@@ -129,9 +140,12 @@
         response.flushHeaders();
       },
       data: (chunk) => {
-        if (passing) response.write(chunk);
+        if (!passing) return;
+        tail?.feed(chunk);
+        response.write(chunk);
       },
       ended: () => {
+        if (tail && tail.place() !== 'behind') return events.failed('ended before a whole event', true, false);
         directory.ended(sampler.id, notRun ? undefined : now() - began, notRun ? 60 : 0);
         if (passing) return void response.end();
         next();
@@ -144,7 +158,7 @@
         }
         // It waited for a connection to a sampler that left meanwhile: no attempt was made.
         if (!sent && directory.left(sampler.id)) tried.delete(sampler.id);
-        directory.ended(sampler.id, undefined, stale ? 0 : 400);
+        directory.ended(sampler.id, undefined, stale ? 0 : ejectionMs);
         if (passing) return void response.destroy();
         if (sent) doubtful = true;
         if (sent && !binding.resumable) return refuse(reason);
--- a/src/tests/itemRun.test.ts
+++ b/src/tests/itemRun.test.ts
@@ -259,6 +259,14 @@
     const end = await finish({ pieces: list, version: 3, end: 'whole', most: bytesOf(list).length - 4 });
     expect(end).toMatchObject({ kind: 'cut', partial: { events: ['a'], lastId: 1 } });
   });
+  test('behind a line of an event that ends with two bytes is not whole', async () => {
+    const text = 'id: 1\r\ndata: a\r\n\r\nid: 2\r\n';
+    const { done } = await begin(({ socket, attempt }) => {
+      const head = `HTTP/1.1 200 OK\r\nattempt: ${attempt}\r\nstamp: s.1\r\ncontent-length: ${text.length}`;
+      socket.write(`${head}\r\n\r\n${text}`);
+    });
+    expect(await done()).toMatchObject({ kind: 'cut', partial: { events: ['a'], lastId: 1 } });
+  });
   test('keeps what it had when its next run brings nothing', async () => {
     const partial = partOf(2, [3]);
     const end = await finish({ pieces: [], version: 3, end: 'cut' }, { partial });
