The fleet says how many more disks it can bear to lose, beside what it promises

Observability for the incident of too few voters: nothing said that four voters bear one loss where two are promised. lossMargin reckons it for the voters and for each view of the stores (the batch with the most copies on absent stores); a core's monitor shows it as the metric foxdeck_loss_margin, and the core that reconciles the members writes losses_below_promise and losses_as_promised, once each time. `foxdeck status` and GET /foxdeck/fleet of the own interface tell the margins.

--- a/src/cli/operatorCommands.ts
+++ b/src/cli/operatorCommands.ts
@@ -18,6 +18,13 @@
   else for (const line of shape(JSON.parse(told.text) as T)) process.stdout.write(`${line}\n`);
 };
 
+type Row = Record<string, unknown>;
+type FleetStatus = {
+  readonly nodes: ReadonlyArray<Row>;
+  readonly samplers: ReadonlyArray<Row>;
+  readonly lossMargins: Readonly<Record<string, number>>;
+};
+
 const samplerFields = ['service', 'domain', 'state', 'version', 'kvUsed', 'budget'];
 
 const numbered = (sequence: string | undefined): string =>
@@ -103,18 +110,13 @@
     meta: { name: 'status', description: 'Shows how the fleet stands, as one node knows it.' },
     args: common,
     run: async ({ args }) =>
-      run(
-        args,
-        'GET',
-        '/foxdeck/fleet',
-        undefined,
-        (body: { nodes: ReadonlyArray<Record<string, unknown>>; samplers: ReadonlyArray<Record<string, unknown>> }) => [
-          ...body.nodes
-            .map((node) => `node ${node['name']} ${fieldsOf(node, ['domain', 'roles', 'state', 'sequence', 'duties'])}`)
-            .sort(),
-          ...body.samplers.map((each) => `sampler ${each['name']} ${fieldsOf(each, samplerFields)}`).sort(),
-        ],
-      ),
+      run(args, 'GET', '/foxdeck/fleet', undefined, (body: FleetStatus) => [
+        ...body.nodes
+          .map((node) => `node ${node['name']} ${fieldsOf(node, ['domain', 'roles', 'state', 'sequence', 'duties'])}`)
+          .sort(),
+        ...body.samplers.map((each) => `sampler ${each['name']} ${fieldsOf(each, samplerFields)}`).sort(),
+        ...Object.entries(body.lossMargins).map(([group, margin]) => `${group} may lose ${margin} more disks`),
+      ]),
   }),
   drain: defineCommand({
     meta: {
--- a/src/edge/callMetrics.ts
+++ b/src/edge/callMetrics.ts
@@ -1,4 +1,4 @@
-import { Counter, Registry } from 'prom-client';
+import { Counter, Gauge, Registry } from 'prom-client';
 
 /** One call between this process and another: who was asked, for what, and how many bytes went each way. */
 export type CallSize = {
@@ -26,6 +26,8 @@
   /** How an address is resolved to its zone, once the process knows of other machines. */
   readonly resolveZones: (zoneOf: (address: string) => string | undefined) => void;
   readonly totals: () => Promise<ReadonlyArray<CallTotal>>;
+  /** Shows how many more disks each group of replicas may lose; below 0 so many machines have to return first. */
+  readonly showLossMargins: (margins: ReadonlyMap<string, number>) => void;
   /** Everything in Prometheus' text form. */
   readonly text: () => Promise<string>;
 };
@@ -42,6 +44,12 @@
   const sent = counter('foxdeck_call_sent_bytes_total', 'Bytes of requests sent, by name and pair of zones');
   const received = counter('foxdeck_call_received_bytes_total', 'Bytes of responses read, by name and pair of zones');
   const connections = counter('foxdeck_connections_total', 'Connections opened, by name and pair of zones');
+  const lossMargins = new Gauge({
+    name: 'foxdeck_loss_margin',
+    help: 'Disks that a group of replicas may still lose without losing what was acknowledged',
+    labelNames: ['group'],
+    registers: [registry],
+  });
   let zoneOf: (address: string) => string | undefined = () => undefined;
   const labels = (address: string, call: string): Record<(typeof labelNames)[number], string> => ({
     call,
@@ -77,6 +85,10 @@
         connections: valueOf(opened, call, zone),
       }));
     },
+    showLossMargins: (margins) => {
+      lossMargins.reset();
+      for (const [group, margin] of margins) lossMargins.set({ group }, margin);
+    },
     text: () => registry.metrics(),
   };
 };
--- a/src/fleet/core/coreProgram.ts
+++ b/src/fleet/core/coreProgram.ts
@@ -26,6 +26,7 @@
 import { makeWatchServer } from './watchServer.js';
 import { makeSamplerFile } from './samplerFile.js';
 import { samplerDepartures } from './samplerDepartures.js';
+import { lossMonitor } from './lossMonitor.js';
 import { membershipReconciler } from './membershipReconciler.js';
 
 /** Nobody here serves on leases of the configuration: what fronts follow is bounded by their contact with the cores. */
@@ -35,6 +36,7 @@
 const keptSequences = 16;
 const reconcilerTask = 'membership';
 const keepMs = 1000;
+const lossMonitorMs = 1000;
 const confirmMs = 1500;
 const startRetryMs = 500;
 /** How long callers may still come after this core said that it leaves. */
@@ -246,22 +248,28 @@
     disk,
     handle: handleAsk,
   });
+  const reconciles = (): boolean => {
+    const cores = members().filter((member) => member.role === 'core' && member.state === 'ready');
+    const names = cores.map((core) => core.name);
+    return rendezvous(reconcilerTask, names)[0] === settings.name;
+  };
   const reconciler = membershipReconciler.make({
     register,
     channels,
     members,
     tolerance: settings.tolerance,
-    held: () => {
-      const cores = members().filter((member) => member.role === 'core' && member.state === 'ready');
-      return (
-        rendezvous(
-          reconcilerTask,
-          cores.map((core) => core.name),
-        )[0] === settings.name
-      );
-    },
+    held: reconciles,
+    now,
+    event: log.event,
+  });
+  const losses = lossMonitor.make({
+    configuration: () => register.known()?.configuration,
+    members,
+    tolerance: settings.tolerance,
+    reports: reconciles,
     now,
     event: log.event,
+    show: tools.metrics.showLossMargins,
   });
   watcher.onChange((before, after) => {
     for (const sampler of after.samplers.values()) if (before.samplers.get(sampler.id) !== sampler) desk.hear(sampler);
@@ -272,6 +280,7 @@
   const timers = [
     every(250, () => desk.tick()),
     every(300, () => reconciler.tick()),
+    every(lossMonitorMs, () => losses.tick()),
     every(keepMs, () => samplerFile.keep(desk.samplers())),
     ...(revokeMs === undefined ? [] : [every(revokeMs / confirmationsPerRevocation, confirmer.confirm)]),
     every(400, async () => {
--- a/src/front/controlFace.ts
+++ b/src/front/controlFace.ts
@@ -1,7 +1,10 @@
 import { Effect } from 'effect';
+import type { Voter } from '../core/paxos.js';
 import type { Outcome } from '../core/register.js';
 import type { NodeContext } from '../node/nodeContext.js';
 import type { Announcement } from '../node/news.js';
+import { lossMargin } from '../policy/lossMargin.js';
+import { placement } from '../policy/placement.js';
 import { checked } from '../shared/checked.js';
 import type { Change, Configuration } from '../shared/configuration.js';
 import type { Fault } from '../shared/fault.js';
@@ -98,6 +101,21 @@
       );
     });
 
+  /** How many more disks each group of replicas may lose, as this node knows them. */
+  const lossMargins = (): Readonly<Record<string, number>> => {
+    const known = register.known()?.configuration;
+    if (!known) return {};
+    const present = new Set(news.nodes().map(placement.key));
+    const marginOf = (group: ReadonlyArray<Voter>): number =>
+      lossMargin.ofGroup(group, (member) => present.has(placement.key(member)));
+    const { current, previous } = known.stores;
+    return {
+      voters: marginOf(known.voters),
+      ...(current.length > 0 && { stores: marginOf(current) }),
+      ...(previous.length > 0 && { formerStores: marginOf(previous) }),
+    };
+  };
+
   const configurationAt = (sequence: number | undefined): Effect.Effect<HttpReply, Fault> =>
     Effect.gen(function* () {
       const known = yield* register.latest;
@@ -196,7 +214,7 @@
         case 'GET status':
           return replies.json(200, context.facts());
         case 'GET fleet':
-          return replies.json(200, { nodes: news.nodes(), samplers: news.samplers() });
+          return replies.json(200, { nodes: news.nodes(), samplers: news.samplers(), lossMargins: lossMargins() });
         case 'POST samplers':
           return announce(ask);
         case 'POST weights':
--- a/src/tests/process.test.ts
+++ b/src/tests/process.test.ts
@@ -48,7 +48,31 @@
   ...['--data', join(folder, `data-${peer}`), ...more],
 ];
 
+/** Runs another command of the program to its end; answers what it prints. */
+const printed = (args: ReadonlyArray<string>): Promise<string> =>
+  new Promise((resolve) => {
+    const child = spawn(process.execPath, ['dist/cli/foxdeck.js', ...args]);
+    let text = '';
+    child.stdout.on('data', (bytes: Buffer) => (text += bytes.toString()));
+    child.on('close', () => resolve(text));
+  });
+
 describe('a process', () => {
+  test('tells in its status how many more disks may be lost', async () => {
+    const [peer, http] = await freePorts(2);
+    const child = spawn(process.execPath, ['dist/cli/foxdeck.js', 'node', ...flags(peer!, http!)]);
+    await new Promise<void>((resolve) => {
+      let log = '';
+      child.stderr.on('data', (bytes: Buffer) => {
+        log += bytes.toString();
+        if (log.includes('event=lease_won')) resolve();
+      });
+    });
+    const status = await printed(['status', '--at', `127.0.0.1:${http}`]);
+    child.kill('SIGTERM');
+    await new Promise((resolve) => child.on('close', resolve));
+    expect(status).toContain('voters may lose 0 more disks');
+  });
   test('that is told to stop bounces new work, hands its duties on and ends with 0', async () => {
     const [peer, http] = await freePorts(2);
     const ended = await node(flags(peer!, http!), 'event=lease_won');
