Acknowledgements wait until the voters are as many as the promised losses need

A log is founded by the three seeds and grows afterwards. With `faultTolerance` 2 a change that was acknowledged meanwhile lay on two of three disks, one loss short of the promise; found by reading, on a deployment of which the other cores come late. Not mended: while only the founders vote, the loss of two of them ends a log in which nothing is acknowledged yet. Stores need nothing: their first view is formed by 2f+1 stores.

--- a/src/fleet/core/controlHandler.ts
+++ b/src/fleet/core/controlHandler.ts
@@ -6,6 +6,7 @@
 import { placement } from '../../policy/placement.js';
 import type { WatchServer } from './watchServer.js';
 import type { SamplerDepartures } from './samplerDepartures.js';
+import type { VoterGrowth } from './voterGrowth.js';
 
 /** Answers the calls of samplers, trainers and operators. */
 export type ControlHandler = { readonly handle: (call: ControlCall, bytes: Uint8Array) => Promise<Reply> };
@@ -21,6 +22,8 @@
   readonly register: Register;
   readonly desk: WatchServer;
   readonly departures: SamplerDepartures;
+  /** What is acknowledged or shown waits until enough voters hold it. */
+  readonly growth: VoterGrowth;
   readonly dialect: Dialect;
   readonly tolerance: number;
   readonly stores: () => ReadonlyArray<Member>;
@@ -33,8 +36,11 @@
     headers: { 'content-type': 'application/json' },
     body: dialect.said(fields),
   });
-  const worded = (outcome: Outcome): Reply => {
-    if (outcome.state === 'accepted') return said(200);
+  const worded = async (outcome: Outcome): Promise<Reply> => {
+    if (outcome.state === 'accepted') {
+      await options.growth.settled();
+      return said(200);
+    }
     if (outcome.state === 'unavailable') return said(503, { cause: outcome.message });
     if (outcome.state === 'unknown') return said(504, { cause: outcome.message });
     if (outcome.state === 'conflict') return said(412, { cause: outcome.message });
@@ -110,6 +116,7 @@
         return declare(call, bytes);
       case 'declared': {
         const { configuration } = await lasting(register.latest);
+        await options.growth.settled();
         if (!configuration.traffic) return said(404, { cause: 'nothing was declared yet' });
         const headers = { 'content-type': 'application/json' };
         return { status: 200, headers, body: configuration.traffic.document };
--- a/src/fleet/core/coreProgram.ts
+++ b/src/fleet/core/coreProgram.ts
@@ -13,6 +13,7 @@
 import { brands } from '../../shared/brands.js';
 import { Disk } from '../../shared/disk.js';
 import type { Links } from '../../shared/links.js';
+import { placement } from '../../policy/placement.js';
 import { rendezvous } from '../../shared/rendezvous.js';
 import { watchers } from '../watcher.js';
 import type { Followed, FleetSettings, Member, Sampler } from '../fleetTypes.js';
@@ -26,6 +27,7 @@
 import { makeWatchServer } from './watchServer.js';
 import { makeSamplerFile } from './samplerFile.js';
 import { samplerDepartures } from './samplerDepartures.js';
+import { voterGrowth } from './voterGrowth.js';
 import { lossMonitor } from './lossMonitor.js';
 import { membershipReconciler } from './membershipReconciler.js';
 
@@ -219,6 +221,13 @@
     register,
     desk,
     departures,
+    growth: voterGrowth.make({
+      configuration: () => register.known()?.configuration,
+      members,
+      wanted: placement.copies(settings.tolerance),
+      firstStart: settings.firstStart,
+      now,
+    }),
     dialect,
     tolerance: settings.tolerance,
     stores: () => members().filter((member) => member.role === 'store' && member.state === 'ready'),
--- a/src/sim/fleet/fleetDay.ts
+++ b/src/sim/fleet/fleetDay.ts
@@ -21,6 +21,8 @@
   readonly closing?: FleetFaultKind | false;
   /** Whether a machine whose disk was lost comes back under its old disk's identity, as a test of checkers does. */
   readonly keepsDiskIdentity?: boolean;
+  /** What a test brings about itself while the machines start. */
+  readonly startScript?: (world: VirtualWorld, fleet: VirtualFleet) => void;
   /** What a test brings about itself, called when the work begins. */
   readonly script?: (world: VirtualWorld, fleet: VirtualFleet) => void;
 };
@@ -88,6 +90,7 @@
       inTouch: (front) => waiting.faults?.inTouch(front) ?? true,
       keepsDiskIdentity: options.keepsDiskIdentity === true,
     });
+    options.startScript?.(world, fleet);
     const workEnd = bootMs + (options.workMs ?? 18_000);
     const restEnd = workEnd + (options.settleMs ?? settleMs);
     let over = false;
