A lagging voter takes in the newest value before it asks others for older ones

Now the newest comes first, a silent core is passed over and is not asked first each time, and a pass of gaps ends after a second, so that newer values are looked at again. upkeep.test.ts failed before (nothing was taken in while the other core was silent).

--- a/src/node/upkeep.ts
+++ b/src/node/upkeep.ts
@@ -12,6 +12,10 @@
   readonly settings: { readonly name: string; readonly foundingCores: number };
 };
 
+const askMs = 1000;
+/** How long one pass may fill gaps before newer values are looked at again. */
+const gapsMs = 1000;
+
 /** What keeps a node abreast of the register: founding it, following it, and filling a core's gaps. */
 export const makeUpkeep = (options: {
   readonly context: UpkeepContext;
@@ -43,49 +47,41 @@
     const answer = yield* links.ask(
       ahead.peer,
       answers.ask({ case: 'since', value: { sequence: ahead.sequence - 1 } }),
-      1000,
+      askMs,
     );
     if (answer.kind.case === 'chosen') register.learn(answer.kind.value.value);
   });
-  const backfill = Effect.gen(function* () {
-    for (const sequence of voter?.missing() ?? []) {
-      for (const node of news.nodes().filter((each) => each.roles.includes('core') && each.name !== settings.name)) {
-        const answer = yield* links.ask(
-          node.peer,
-          answers.ask({ case: 'since', value: { sequence: sequence - 1 } }),
-          1000,
-        );
-        if (answer.kind.case !== 'chosen' || answer.kind.value.sequence !== sequence) continue;
-        yield* handle(
-          answers.ask({
-            case: 'learn',
-            value: {
-              role: 'core',
-              disk: disk!.id,
-              key: `config/${sequence}`,
-              ballot: { round: 1, proposer: '' },
-              value: answer.kind.value.value,
-            },
-          }),
-        );
-        break;
+  /** Writes a decided value into this core's vote. */
+  const takeIn = (sequence: number, value: Uint8Array): Effect.Effect<Answer> =>
+    handle(
+      answers.ask({
+        case: 'learn',
+        value: { role: 'core', disk: disk!.id, key: `config/${sequence}`, ballot: { round: 1, proposer: '' }, value },
+      }),
+    );
+  /** The other cores, from a random one on: one that is silent is not asked first each time. */
+  const otherCores = (): ReadonlyArray<Presence> => {
+    const cores = news.nodes().filter((each) => each.roles.includes('core') && each.name !== settings.name);
+    const first = Math.floor(time.chance() * cores.length);
+    return [...cores.slice(first), ...cores.slice(0, first)];
+  };
+  const fillGap = (sequence: number) =>
+    Effect.gen(function* () {
+      for (const core of otherCores()) {
+        const request = answers.ask({ case: 'since', value: { sequence: sequence - 1 } });
+        const told = yield* Effect.either(links.ask(core.peer, request, askMs));
+        if (told._tag === 'Left' || told.right.kind.case !== 'chosen') continue;
+        const { sequence: found, value } = told.right.kind.value;
+        if (found === sequence) return void (yield* takeIn(sequence, value));
       }
-    }
+    });
+  /** The newest value first: a core votes on what follows it, with gaps before it or without. */
+  const backfill = Effect.gen(function* () {
+    if (!voter) return;
     const known = register.known();
-    if (voter && known && known.sequence > voter.sequence()) {
-      yield* handle(
-        answers.ask({
-          case: 'learn',
-          value: {
-            role: 'core',
-            disk: disk!.id,
-            key: `config/${known.sequence}`,
-            ballot: { round: 1, proposer: '' },
-            value: known.value,
-          },
-        }),
-      );
-    }
+    if (known && known.sequence > voter.sequence()) yield* takeIn(known.sequence, known.value);
+    const gaps = Effect.forEach(voter.missing(), fillGap, { discard: true });
+    yield* Effect.ignore(Effect.timeout(gaps, gapsMs));
   });
 
   return { founding, follow, backfill };
