One place judges how an answer ended: a cut answer without a length is not whole

Cause: where data and a reset are found in one poll, Node reports a normal end; and a killed process closes its connections in order. Each path took the runtime's word, or none, for the end of an answer. Change: answerEnd tells length, last chunk, close, reset and unproven, and every path takes its verdict from there. For answers that end with their connection alone, an empty line is written at the reported end, and the process has to live. An order whose answer was cut counts as one without an answer. Ruled out: message.complete (true for them), a half-open socket alone (a kill is a clean close), a new connection that only came up (a dying process took one in 1 of about 30 runs of the tests under load).

--- a/src/fleet/front/weightLoads.ts
+++ b/src/fleet/front/weightLoads.ts
@@ -119,7 +119,11 @@
       },
       data: () => undefined,
       ended: () => done('', true),
-      failed: (reason, sent) => done(reason, sent),
+      failed: (reason, sent) => {
+        // An answer that was cut is none: the order may have been taken.
+        status = 0;
+        done(reason, sent);
+      },
     });
   };
   const begin = async (sampler: Sampler, entry: Under, wish: LoadWish): Promise<void> => {
--- a/src/fleet/samplerConnections.ts
+++ b/src/fleet/samplerConnections.ts
@@ -1,7 +1,19 @@
 import { Agent } from 'node:http';
-import type { Socket } from 'node:net';
+import { createConnection, type Socket } from 'node:net';
+import { hostPort } from '../shared/hostPort.js';
 import type { Connection } from '../shared/transport.js';
 
+/** What a connection was before a call got it. */
+export type Taken =
+  /** No call had it. */
+  | 'new'
+  /**
+   * The same id went over it: a late copy of that answer could not be told from the answer to this call. It is closed.
+   */
+  | 'used'
+  /** It was kept, and idle for so long. */
+  | { readonly idleMs: number };
+
 /** The kept connections of a process to its samplers, by address. */
 export type SamplerConnections = {
   /**
@@ -9,11 +21,13 @@
    * went before is closed where it would be next; with `once`, so are all that their sampler may have forgotten.
    */
   readonly agentFor: (address: string, attempt: string, once: boolean) => Agent;
+  /** Notes that a call with an attempt id got a connection. */
+  readonly take: (socket: Socket, attempt: string) => Taken;
   /**
-   * Notes that a call got a connection; answers for how many milliseconds it was idle. Undefined where the id went over
-   * it before: a late copy of that answer could not be told from the answer to this call. It is closed.
+   * Whether the process at an address lives, of which one connection has just ended: another that was open then is
+   * still open a little later, or a new one comes up, which the next call gets that needs one soon.
    */
-  readonly taken: (socket: Socket, attempt: string) => number | undefined;
+  readonly alive: (address: string, opening: () => void) => Promise<boolean>;
   /** Notes that a sampler had forgotten a connection that was idle for so many milliseconds. */
   readonly forgotten: (address: string, idleMs: number) => void;
   /** True when a kept connection stands idle; with `once`, one that is surely not forgotten. */
@@ -28,6 +42,14 @@
 const idleMostMs = 120_000;
 /** A connection that was idle for less is taken to be remembered. */
 const rememberedMs = 2000;
+/** A process that ends closes all its connections; within this time all of them are known to be closed. */
+const closeTogetherMs = 20;
+/** How long a connection may take to come up. */
+const connectMs = 700;
+/** How long a connection that was opened ahead waits for its call. */
+const spareMs = 300;
+/** What calls bear that have no id. */
+const noAttempt = '';
 /** How many attempt ids are remembered of one connection. */
 const attemptsMost = 128;
 /** For so long a connection that was forgotten sooner counts against others to the same address. */
@@ -56,6 +78,62 @@
   const warnings = new Map<string, Warning>();
   const agents = new Map<string, KeepAliveAgent>();
 
+  /** A connection that was opened ahead, by address. */
+  const spares = new Map<string, Socket>();
+
+  const open = (address: string): Socket =>
+    connect ? (connect(address) as Socket) : createConnection({ ...hostPort(address), noDelay: true });
+  const dropSpare = (address: string, socket: Socket): void => {
+    if (spares.get(address) === socket) spares.delete(address);
+    socket.destroy();
+  };
+  const keepSpare = (address: string, socket: Socket): void => {
+    spares.get(address)?.destroy();
+    spares.set(address, socket);
+    socket.once('close', () => dropSpare(address, socket));
+    setTimeout(() => {
+      if (spares.get(address) === socket) dropSpare(address, socket);
+    }, spareMs).unref();
+  };
+  const takeSpare = (address: string): Socket | undefined => {
+    const socket = spares.get(address);
+    spares.delete(address);
+    // Bytes that came before any call belong to no answer.
+    const fit = socket && !socket.destroyed && !socket.readableEnded && socket.readableLength === 0;
+    if (!fit) socket?.destroy();
+    return fit ? socket : undefined;
+  };
+  const isOpen = (socket: Socket): boolean => !socket.destroyed && !socket.connecting && !socket.readableEnded;
+  const openTo = (address: string): ReadonlyArray<Socket> => {
+    const agent = agents.get(address);
+    const pools = agent ? [agent.sockets, agent.freeSockets] : [];
+    return pools.flatMap((pool) => Object.values(pool).flatMap((sockets) => sockets ?? [])).filter(isOpen);
+  };
+  const anyStaysOpen = async (sockets: ReadonlyArray<Socket>): Promise<boolean> => {
+    if (sockets.length === 0) return false;
+    await new Promise((resolve) => setTimeout(resolve, closeTogetherMs));
+    return sockets.some(isOpen);
+  };
+  const connected = (socket: Socket): Promise<boolean> =>
+    new Promise((resolve) => {
+      const timer = setTimeout(() => socket.destroy(), connectMs);
+      const told = (isConnected: boolean) => (): void => {
+        clearTimeout(timer);
+        resolve(isConnected);
+      };
+      socket.once('connect', told(true));
+      socket.once('error', told(false));
+      socket.once('close', told(false));
+    });
+  /** A process that ends may take connections until its last socket is closed: a new one has to stay open too. */
+  const reopen = async (address: string): Promise<boolean> => {
+    const socket = open(address);
+    const lives = (await connected(socket)) && (await anyStaysOpen([socket]));
+    if (lives) keepSpare(address, socket);
+    else socket.destroy();
+    return lives;
+  };
+
   const makeAgent = (address: string): KeepAliveAgent => {
     const agent = new Agent({
       keepAlive: true,
@@ -64,7 +142,7 @@
       scheduling: 'lifo',
       timeout: idleMostMs,
     }) as KeepAliveAgent;
-    if (connect) agent.createConnection = () => connect(address) as Socket;
+    agent.createConnection = () => takeSpare(address) ?? open(address);
     // Bytes on an idle connection belong to no request: it goes.
     agent.on('free', (socket: Socket) => {
       socket.on('data', dropped);
@@ -87,6 +165,8 @@
   const went = (socket: Socket, attempt: string): boolean => attemptsOver.get(socket)?.has(attempt) === true;
   const note = (socket: Socket, attempt: string): void => {
     const attempts = attemptsOver.get(socket) ?? new Set();
+    // A late answer comes in the slot of the next one. Behind a call with an id none to a call without one is due.
+    if (attempt !== noAttempt) attempts.delete(noAttempt);
     attemptsOver.set(socket, attempts.add(attempt));
     if (attempts.size > attemptsMost) attempts.delete(attempts.values().next().value!);
   };
@@ -107,14 +187,20 @@
       agents.set(address, agent);
       return agent;
     },
-    taken: (socket, attempt) => {
+    take: (socket, attempt) => {
       socket.off('data', dropped);
       if (went(socket, attempt)) {
         socket.destroy();
-        return undefined;
+        return 'used';
       }
       note(socket, attempt);
-      return now() - (idleSince.get(socket) ?? now());
+      const since = idleSince.get(socket);
+      return since === undefined ? 'new' : { idleMs: now() - since };
+    },
+    alive: async (address, opening) => {
+      if (await anyStaysOpen(openTo(address))) return true;
+      opening();
+      return reopen(address);
     },
     forgotten: (address, idleMs) => {
       const shortestMs = Math.min(currentWarning(address)?.idleMs ?? Infinity, idleMs);
@@ -126,12 +212,15 @@
       const agent = agents.get(address);
       if (!agent) return;
       const idle = idleOf(address);
+      const spare = spares.get(address);
+      if (spare) dropSpare(address, spare);
       agents.delete(address);
       // A sampler that said its farewell serves on; only the agent's own `destroy` would cut what is under way there.
       agent.keepAlive = false;
       for (const socket of idle) socket.destroy();
     },
     close: () => {
+      for (const [address, socket] of spares) dropSpare(address, socket);
       for (const agent of agents.values()) agent.destroy();
     },
   };
--- a/src/fleet/samplerExchange.ts
+++ b/src/fleet/samplerExchange.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 import { hostPort } from '../shared/hostPort.js';
 import type { CallMetrics } from '../edge/callMetrics.js';
+import { answerEnd, type AnswerEnd } from './answerEnd.js';
 import type { SamplerCall } from './dialect.js';
 import type { CallEvents, OpenCall } from './samplerClient.js';
 import type { SamplerConnections } from './samplerConnections.js';
@@ -29,7 +30,6 @@
 /** Final statuses (RFC 9110, 15); whatever else the parser lets pass is no answer, and can't be passed on. */
 const finalStatus = { least: 200, most: 599 };
 const lateReason = 'no answer in time';
-const cutReason = 'the answer was cut short';
 
 const isFinal = (status: number | undefined): status is number =>
   status !== undefined && status >= finalStatus.least && status <= finalStatus.most;
@@ -54,7 +54,7 @@
 ): SamplerExchange => {
   const { connections, metrics, threw } = tools;
   const kind = call.kind ?? 'sampler';
-  let [over, waits, connected, reused, answered] = [false, true, false, false, false];
+  let [over, waits, connected, reused, answered, ending] = [false, true, false, false, false, false];
   let idleMs = 0;
   let receivedBytes = 0;
   let sent: ClientRequest | undefined;
@@ -86,9 +86,12 @@
   };
   const timer = setTimeout(() => fail(lateReason), Math.max(1, how.timeLeftMs));
 
-  const onNewConnection = (socket: Socket): void => {
+  const countConnection = (): void => {
     tools.opened();
     metrics?.connected(address, kind);
+  };
+  const onNewConnection = (socket: Socket): void => {
+    countConnection();
     socket.setNoDelay(true);
     connecting = setTimeout(() => {
       if (!connected) fail('no connection in time');
@@ -99,14 +102,19 @@
     });
   };
   const onSocket = (socket: Socket): void => {
-    const idleBeforeMs = connections.taken(socket, call.attempt);
-    if (idleBeforeMs === undefined) return sendElsewhere();
+    const taken = connections.take(socket, call.attempt);
+    if (taken === 'used') return sendElsewhere();
     waits = false;
     waitsNoMore();
     if (socket.connecting) return onNewConnection(socket);
     connected = true;
+    if (taken === 'new') return;
     reused = true;
-    idleMs = idleBeforeMs;
+    idleMs = taken.idleMs;
+  };
+  const onEnd = (end: AnswerEnd): void => {
+    if (end === 'reset' || end === 'unproven') return fail(answerEnd.reasons[end]);
+    if (finish()) guarded(events.ended);
   };
   const onResponse = (message: IncomingMessage): void => {
     if (over) return void message.destroy();
@@ -114,17 +122,20 @@
     const status = message.statusCode;
     if (!isFinal(status)) return fail(`status ${status}, which is none of an answer`);
     receivedBytes += headBytes(message);
+    const judge = answerEnd.judge(call.method, message, () => connections.alive(address, countConnection));
     guarded(() => events.head(status, message));
     message.on('data', (chunk: Buffer | string) => {
       receivedBytes += chunk.length;
       if (!over) guarded(() => events.data(chunk));
     });
     message.on('end', () => {
-      if (!message.complete) return fail(cutReason);
-      if (finish()) guarded(events.ended);
+      ending = true;
+      if (!over) judge(onEnd);
     });
     message.on('error', (cause) => fail(cause.message));
-    message.on('close', () => fail(cutReason));
+    message.on('close', () => {
+      if (!ending) fail(answerEnd.reasons.reset);
+    });
   };
   const send = (): void => {
     const { method, path, headers, body, attempt } = call;
