--- a/src/dev/sweep.ts
+++ b/src/dev/sweep.ts
@@ -1,6 +1,7 @@
 import { writeFileSync } from 'node:fs';
-import type { FleetFaultKind } from '../sim/fleet/fleetFaults.js';
+import type { FleetFaultKind } from '../sim/fleet/fleetFaultKinds.js';
 import { runFleetDay } from '../sim/fleet/fleetDay.js';
+import type { FleetSize } from '../sim/fleet/virtualFleet.js';
 import { commandFlag } from './commandFlag.js';
 import { seedSweep, type PlayDay } from './seedSweep.js';
 
@@ -9,13 +10,21 @@
 /** Every third seed plays a larger fleet that bears the loss of two disks. */
 const largeEvery = 3;
 const large = { cores: 5, stores: 6, fronts: 4, tolerance: 2 };
+/** Every sixth seed plays one without a machine to spare. */
+const exactEvery = 6;
+const exact = { ...large, stores: 5 };
+
+const sizeOf = (seed: number): Partial<FleetSize> => {
+  if (seed % exactEvery === 0) return exact;
+  return seed % largeEvery === 0 ? large : {};
+};
 
 /** A day of the fleet programs. */
 const play: PlayDay = async (seed, mostFaults) => {
   const day = await runFleetDay({
     seed,
     meanFaultMs: Number(commandFlag('mean', '1400')),
-    ...(seed % largeEvery === 0 && { size: large }),
+    size: sizeOf(seed),
     ...(mostFaults !== undefined && { mostFaults }),
     ...(only === 'none' && { only: [], closing: false }),
     ...(only !== '' && only !== 'none' && { only: only.split(',') as ReadonlyArray<FleetFaultKind> }),
--- a/src/sim/fleet/fleetDay.ts
+++ b/src/sim/fleet/fleetDay.ts
@@ -1,6 +1,7 @@
 import { fleetCheckers, type FleetViolation } from './fleetCheckers.js';
 import { makeFleetClients } from './fleetClients.js';
-import { makeFleetFaults, type FleetFaultKind, type FleetFaults } from './fleetFaults.js';
+import type { FleetFaultKind } from './fleetFaultKinds.js';
+import { makeFleetFaults, type FleetFaults } from './fleetFaults.js';
 import { fleetKeys } from './fleetKeys.js';
 import type { Observation } from './observations.js';
 import { startVirtualFleet, type FleetSize, type VirtualFleet } from './virtualFleet.js';
@@ -60,6 +61,8 @@
   'wipeWhileOthersLosePower',
   'cutHalves',
 ];
+/** With a tolerance above one, as many disks as it allows may be lost at once. */
+const severeClosings: ReadonlyArray<FleetFaultKind> = ['wipeAllTolerated', 'wipeAllToleratedWhileOthersLosePower'];
 
 const served = (seen: ReadonlyArray<Observation>, from: number): ReadonlyArray<FleetViolation> => {
   const late = fleetCheckers.proper(seen).filter((each) => each.sentAt >= from);
@@ -117,7 +120,8 @@
     waiting.faults = faults;
     await world.runUntil(workEnd);
     over = true;
-    if (options.closing !== false) faults.close(options.closing ?? world.pick(closings));
+    if (options.closing !== false)
+      faults.close(options.closing ?? world.pick(size.tolerance > 1 ? [...closings, ...severeClosings] : closings));
     await world.runUntil(workEnd + 3000);
     faults.heal();
     await world.runUntil(restEnd - 4000);
--- a/src/sim/fleet/fleetFaults.ts
+++ b/src/sim/fleet/fleetFaults.ts
@@ -1,33 +1,8 @@
+import { faultKinds, type FleetFaultKind } from './fleetFaultKinds.js';
 import { retireStore } from './storeRetirement.js';
 import type { VirtualFleet, VirtualMachine } from './virtualFleet.js';
 import type { OutsideWorld } from './virtualWorld.js';
 
-/** What may go wrong in a simulated day. */
-export type FleetFaultKind =
-  | 'kill'
-  | 'powerLoss'
-  | 'freeze'
-  | 'cutOne'
-  | 'cutOneWay'
-  | 'cutHalves'
-  | 'lostAnswers'
-  | 'reset'
-  | 'slowLink'
-  | 'slowDisk'
-  | 'stalledDisk'
-  | 'clockJump'
-  | 'terminate'
-  | 'wipe'
-  | 'wipeWhileOthersLosePower'
-  | 'replaceCore'
-  | 'addMachine'
-  | 'retireStore'
-  | 'killAll'
-  | 'powerLossOfAll'
-  | 'powerLossAfterAcknowledgement'
-  | 'samplerCrash'
-  | 'samplerDeparture';
-
 /** The faults of one day. */
 export type FleetFaults = {
   readonly history: ReadonlyArray<string>;
@@ -60,32 +35,7 @@
 /** A fault that only some fleets can suffer, and how often it is drawn beside the others. */
 export type ExtraFault = { readonly weight: number; readonly act: Act };
 
-const weights: Readonly<Record<FleetFaultKind, number>> = {
-  kill: 4,
-  powerLoss: 3,
-  freeze: 3,
-  cutOne: 3,
-  cutOneWay: 3,
-  cutHalves: 2,
-  lostAnswers: 2,
-  reset: 2,
-  slowLink: 1,
-  slowDisk: 2,
-  stalledDisk: 2,
-  clockJump: 2,
-  terminate: 1,
-  wipe: 1.5,
-  wipeWhileOthersLosePower: 0.7,
-  replaceCore: 1,
-  addMachine: 0.5,
-  retireStore: 1.5,
-  killAll: 0.7,
-  powerLossOfAll: 0.7,
-  powerLossAfterAcknowledgement: 1.5,
-  samplerCrash: 1,
-  samplerDeparture: 3,
-};
-const disksLost = new Set<string>(['wipe', 'wipeWhileOthersLosePower', 'replaceCore']);
+const { weights, severalDisksLost, disksLost } = faultKinds;
 /** A disk may be lost again only so long after the last one, with every machine up for as long as `catchUpMs`. */
 const betweenDisksMs = 9000;
 const catchUpMs = 6000;
@@ -162,6 +112,24 @@
     down(machine, span(200, 2500));
   };
 
+  /** Takes as many disks away at once as may be lost; answers their machines. */
+  const wipeTolerated = (): ReadonlyArray<VirtualMachine> => {
+    const left = [...withDisk()];
+    const chosen = Array.from({ length: fleet.tolerance }, () => {
+      const machine = world.pick(left);
+      left.splice(left.indexOf(machine), 1);
+      return machine;
+    });
+    chosen.forEach(wipe);
+    return chosen;
+  };
+  const losePower = (machines: ReadonlyArray<VirtualMachine>): void => {
+    for (const machine of machines) {
+      machine.losePower();
+      down(machine, span(300, 2500));
+    }
+  };
+
   const acts: Readonly<Record<FleetFaultKind, Act>> = {
     kill: () => {
       const machine = some();
@@ -261,14 +229,16 @@
     },
     wipeWhileOthersLosePower: () => {
       const chosen = world.pick(withDisk());
-      for (const machine of withDisk())
-        if (machine !== chosen) {
-          machine.losePower();
-          down(machine, span(300, 2500));
-        }
+      losePower(withDisk().filter((machine) => machine !== chosen));
       wipe(chosen);
       return chosen.name;
     },
+    wipeAllTolerated: () => namesOf(wipeTolerated()).join(' '),
+    wipeAllToleratedWhileOthersLosePower: () => {
+      const chosen = wipeTolerated();
+      losePower(withDisk().filter((machine) => !chosen.includes(machine)));
+      return namesOf(chosen).join(' ');
+    },
     replaceCore: () => {
       const leaving = world.pick(fleet.of('core').filter((core) => core.running()));
       leaving.leave();
@@ -306,10 +276,7 @@
       return 'every process';
     },
     powerLossOfAll: () => {
-      for (const machine of withDisk()) {
-        machine.losePower();
-        down(machine, span(300, 2500));
-      }
+      losePower(withDisk());
       return 'every machine with a disk';
     },
     powerLossAfterAcknowledgement: () => {
@@ -337,6 +304,7 @@
   const extra = plan.extra?.({ some, withDisk, span, lasting, down, calmThenWipe }) ?? {};
   const drawn = (Object.keys(weights) as FleetFaultKind[])
     .filter((kind) => !plan.only || plan.only.includes(kind))
+    .filter((kind) => fleet.tolerance > 1 || !severalDisksLost.has(kind))
     .map((kind) => ({ kind: kind as string, weight: weights[kind], act: acts[kind] }));
   const kinds = [...drawn, ...Object.entries(extra).map(([kind, each]) => ({ kind, ...each }))];
   const total = kinds.reduce((sum, { weight }) => sum + weight, 0);
--- a/src/sim/fleet/virtualFleet.ts
+++ b/src/sim/fleet/virtualFleet.ts
@@ -3,6 +3,7 @@
 import { startFleet } from '../../fleet/startFleet.js';
 import { brands } from '../../shared/brands.js';
 import { memoryLog } from '../../shared/memoryLog.js';
+import { rendezvous } from '../../shared/rendezvous.js';
 import { plainDialect } from '../../dev/plainDialect.js';
 import { strictBounds } from '../../dev/strictBounds.js';
 import type { Observation } from './observations.js';
@@ -54,6 +55,8 @@
   /** Has a sampler leave in order; another life of it starts after its end. */
   readonly departSampler: (place: number, how: 'draining' | 'leaving') => string;
   readonly samplers: number;
+  /** How many disks may be lost at once. */
+  readonly tolerance: number;
   /** The last log lines of all processes. */
   readonly lines: ReadonlyArray<string>;
   /** Processes that ended by themselves. */
@@ -61,6 +64,9 @@
 };
 
 const ports = { peer: 7380, front: 8149, control: 8144, readiness: 8141, sampler: 9000 };
+const seedCount = 3;
+/** How far the list of cores that seeds are taken from may lag behind. */
+const seedLagMs = 3000;
 const restartMs = 400;
 const linesMost = 20_000;
 const beatMs = 800;
@@ -82,10 +88,27 @@
   const exits: string[] = [];
   const machines: VirtualMachine[] = [];
   const numbers: Record<Role, number> = { core: 0, store: 0, front: 0 };
-  const seeds = Array.from({ length: Math.min(3, size.cores) }, (_, place) => `core-${place + 1}:${ports.peer}`);
+  const firstSeeds = Array.from({ length: Math.min(seedCount, size.cores) }, (_, place) => `core-${place + 1}`);
+  /** The cores that ran, as of each change. */
+  const coreLists: Array<{ readonly at: number; readonly names: ReadonlyArray<string> }> = [];
+  const noteCores = (): void => {
+    const names = machines.filter(({ role, running }) => role === 'core' && running()).map(({ name }) => name);
+    coreLists.push({ at: world.now(), names });
+  };
+  /** Seeds of a later life: three cores of a list that lags behind, others for each name and life. */
+  const laterSeeds = (name: string, life: number): ReadonlyArray<string> => {
+    const listed = coreLists.filter(({ at }) => at <= world.now() - seedLagMs).at(-1)?.names ?? firstSeeds;
+    return rendezvous(`${name}#${life}`, listed).slice(0, seedCount);
+  };
   let diskCount = 0;
 
-  const settingsOf = (name: string, role: Role, number: number, firstStart: boolean): FleetSettings => ({
+  const settingsOf = (
+    name: string,
+    role: Role,
+    number: number,
+    firstStart: boolean,
+    seeds: ReadonlyArray<string>,
+  ): FleetSettings => ({
     name,
     role,
     zone: `zone-${(number % size.zones) + 1}`,
@@ -94,7 +117,7 @@
       ...(role === 'front' && { front: `${name}:${ports.front}`, readiness: `${name}:${ports.readiness}` }),
       ...(role === 'core' && { control: `${name}:${ports.control}` }),
     },
-    seeds,
+    seeds: seeds.map((seed) => `${seed}:${ports.peer}`),
     ...(counted.has(role) && { data: `/data/${name}` }),
     firstStart,
     tolerance: size.tolerance,
@@ -140,7 +163,9 @@
       process = owner;
       program = undefined;
       world.schedule(owner, 0, () => {
-        startFleet(settingsOf(name, role, number, firstStart && life === 1), plainDialect, edgeOf(owner)).then(
+        const isFirst = firstStart && life === 1;
+        const seeds = isFirst ? firstSeeds : laterSeeds(name, life);
+        startFleet(settingsOf(name, role, number, isFirst, seeds), plainDialect, edgeOf(owner)).then(
           (started) => (program = started),
           (cause: unknown) => {
             exits.push(`${world.now().toFixed(0)} ${name}: ${String(cause)}`);
@@ -168,6 +193,7 @@
       start: () => {
         lit = true;
         running = true;
+        noteCores();
         process.kill();
         run();
       },
@@ -186,6 +212,7 @@
       },
       leave: () => {
         running = false;
+        noteCores();
         process.kill();
         lit = false;
       },
@@ -238,6 +265,7 @@
     controlOf: ({ name }) => `${name}:${ports.control}`,
     frontOf: ({ name }) => `${name}:${ports.front}`,
     samplers: samplerCount,
+    tolerance: size.tolerance,
     restartSampler: (place, downMs) => {
       const process = samplerProcesses[place];
       if (!process?.alive() || departing.has(process)) return 'none';
--- a/src/soak/soakFaults.ts
+++ b/src/soak/soakFaults.ts
@@ -1,4 +1,5 @@
-import type { ExtraFault, FaultTools, FleetFaultKind } from '../sim/fleet/fleetFaults.js';
+import type { FleetFaultKind } from '../sim/fleet/fleetFaultKinds.js';
+import type { ExtraFault, FaultTools } from '../sim/fleet/fleetFaults.js';
 import type { Role } from '../fleet/fleetTypes.js';
 import type { SpoiltHow } from './spoiltAnswers.js';
 import type { RealWorld } from './realWorld.js';
@@ -14,6 +15,7 @@
   'stalledDisk',
   'terminate',
   'wipe',
+  'wipeAllTolerated',
   'replaceCore',
   'addMachine',
   'retireStore',
--- a/src/soak/soakFleet.ts
+++ b/src/soak/soakFleet.ts
@@ -173,6 +173,7 @@
     machines.find((machine) => machine.name === named?.name)?.settings.listen;
   const transport: Transport = realEdge('client').transport;
   return {
+    tolerance: options.size.tolerance,
     network: {
       transport: () => transport,
       cut: () => undefined,
