--- a/src/tests/fleetDay.test.ts
+++ b/src/tests/fleetDay.test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from '@jest/globals';
 import { runFleetDay, type FleetDay } from '../sim/fleet/fleetDay.js';
 
-const seeds = [5001, 5002, 5003, 5004, 5005, 5006, 5007];
+const seeds = [5001, 5002, 5003, 5004, 5005, 5006, 5007, 5008];
 const large = { cores: 5, stores: 6, fronts: 4, tolerance: 2 };
 /** What has to be seen often enough for the checks to mean something. */
 const seenOften = { read: 100, accepted: 80, asked: 4000, served: 3500, batchTaken: 60, order: 30, departed: 5 };
