--- a/src/front/lotsFace.ts
+++ b/src/front/lotsHandler.ts
@@ -19,8 +19,8 @@
 const unavailable = (fault: Fault): HttpReply =>
   fault.unknown ? replies.unknown(503, fault.message) : replies.bounce(503, fault.message, 1);
 
-/** The trainers' face: lots, their items, results and streams. */
-export const makeLotsFace = (context: NodeContext) => {
+/** Handles trainers' requests: lots, their items, results and streams. */
+export const makeLotsHandler = (context: NodeContext) => {
   const book = lotBook(context.archive);
 
   const hand = (ask: HttpAsk): Effect.Effect<HttpReply, Fault> =>
--- a/src/front/controlFace.ts
+++ b/src/front/nodeControlHandler.ts
@@ -52,7 +52,7 @@
 });
 
 /** The operators', samplers' and trainers' control calls; any node takes them. */
-export const makeControlFace = (context: NodeContext) => {
+export const makeNodeControlHandler = (context: NodeContext) => {
   const { register, news } = context;
 
   const announce = (ask: HttpAsk): HttpReply => {
--- a/src/front/face.ts
+++ b/src/front/nodeHandler.ts
@@ -2,18 +2,18 @@
 import type { NodeContext } from '../node/nodeContext.js';
 import type { HttpAsk, HttpHandler, HttpReply } from '../shared/http.js';
 import { slab } from '../shared/slab.js';
-import { makeControlFace } from './controlFace.js';
-import { makeLotsFace } from './lotsFace.js';
+import { makeNodeControlHandler } from './nodeControlHandler.js';
+import { makeLotsHandler } from './lotsHandler.js';
 import { makeOrdinary } from './ordinary.js';
 import { replies } from './replies.js';
 
-/** A node's outward face, and how many requests it is carrying. */
-export type Face = { readonly handle: HttpHandler; readonly inFlight: () => number };
+/** Handles all requests to a node, and counts those that it is carrying. */
+export type NodeHandler = { readonly handle: HttpHandler; readonly inFlight: () => number };
 
-/** Makes a node's face: control calls anywhere, lots and bound requests at ready fronts under a lease. */
-export const makeFace = (context: NodeContext): Face => {
-  const control = makeControlFace(context);
-  const lots = makeLotsFace(context);
+/** Makes a node's handler: control calls anywhere, lots and bound requests at ready fronts under a lease. */
+export const makeNodeHandler = (context: NodeContext): NodeHandler => {
+  const control = makeNodeControlHandler(context);
+  const lots = makeLotsHandler(context);
   const ordinary = makeOrdinary(context);
   const inFlight = slab<{ readonly path: string; readonly since: number }>();
 
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -1,5 +1,5 @@
 import { Effect, FiberMap, type Scope } from 'effect';
-import { makeFace } from '../front/face.js';
+import { makeNodeHandler } from '../front/nodeHandler.js';
 import type { Seater } from '../front/seater.js';
 import { openRecords } from '../core/records.js';
 import { makeRegister } from '../core/register.js';
@@ -206,7 +206,7 @@
       }),
     };
     const tables = makeTables(context, seaters.get);
-    const face = makeFace(context);
+    const handler = makeNodeHandler(context);
 
     const presence = (): Presence => ({
       name: settings.name,
@@ -294,7 +294,7 @@
     const duties = makeDuties({ context, seaters, scopes, lastSweep, task, announce: () => announce() });
 
     yield* links.serve(settings.peer, handle);
-    yield* http.serve(settings.http, face.handle, settings.bodyLimit);
+    yield* http.serve(settings.http, handler.handle, settings.bodyLimit);
     announce();
     yield* Effect.forkScoped(news.run);
     yield* task('presence', presenceMs, Effect.sync(announce));
@@ -324,8 +324,8 @@
           yield* draining(true);
           const until = time.held() + mostMs;
           yield* Effect.sleep(700);
-          while (face.inFlight() > 0 && time.held() < until) yield* Effect.sleep(50);
-          log.event('drained', { inFlight: face.inFlight() });
+          while (handler.inFlight() > 0 && time.held() < until) yield* Effect.sleep(50);
+          log.event('drained', { inFlight: handler.inFlight() });
         }),
     };
   });
--- a/src/shared/http.ts
+++ b/src/shared/http.ts
@@ -20,7 +20,7 @@
 /** Answers a request; closing the scope ends what still runs for it. */
 export type HttpHandler = (ask: HttpAsk) => Effect.Effect<HttpReply, never, Scope.Scope>;
 
-/** Calls towards samplers and other outside addresses, and the face that callers see. */
+/** Calls towards samplers and other outside addresses, and the serving of callers. */
 export class Http extends Context.Tag('foxdeck/Http')<
   Http,
   {
