--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -16,7 +16,7 @@
 import { table } from '../shared/table.js';
 import { Timepiece } from '../shared/timepiece.js';
 import { makeArchive } from '../store/archive.js';
-import { openShelf, type Shelf } from '../store/shelf.js';
+import { openResultStore, type ResultStore } from '../store/resultStore.js';
 import { makeLeases } from './leases.js';
 import { makeNews, type Presence } from './news.js';
 import type { NodeContext } from './nodeContext.js';
@@ -112,9 +112,9 @@
             learnt: register.learn,
           })
         : undefined;
-    const shelf: Shelf | undefined =
+    const resultStore: ResultStore | undefined =
       has('store') && disk
-        ? yield* openShelf({
+        ? yield* openResultStore({
             disk: disk.id,
             folder: 'checkpoints',
             configuration: () => register.known()?.configuration,
@@ -200,7 +200,7 @@
         duties: leases.held(),
         nodes: news.nodes().length,
         samplers: news.samplers().length,
-        store: shelf?.size(),
+        store: resultStore?.size(),
         sweep: lastSweep.get(),
         counts: log.counts(),
       }),
@@ -253,8 +253,8 @@
         }
         const byVoter = voter?.handle(ask);
         if (byVoter?._tag === 'Some') return byVoter.value;
-        const byShelf = shelf?.handle(ask);
-        if (byShelf?._tag === 'Some') return byShelf.value;
+        const byResultStore = resultStore?.handle(ask);
+        if (byResultStore?._tag === 'Some') return byResultStore.value;
         if (kind.case === 'learn')
           return Effect.sync(() => {
             register.learn(kind.value.value);
--- a/src/store/shelf.ts
+++ b/src/store/resultStore.ts
@@ -10,10 +10,10 @@
 import type { Log } from '../shared/log.js';
 import { table } from '../shared/table.js';
 import { openCheckpointFiles } from './checkpointFiles.js';
-import { makeShelfIndex } from './shelfIndex.js';
+import { makeResultStoreIndex } from './resultStoreIndex.js';
 
 /** What a store machine answers: write-once records, and progress checkpoints under a duty's fence. */
-export type Shelf = {
+export type ResultStore = {
   readonly handle: (ask: Ask) => Option.Option<Effect.Effect<Answer, Fault>>;
   readonly size: () => {
     readonly records: number;
@@ -23,15 +23,15 @@
   };
 };
 
-/** Opens a store machine's shelf. */
-export const openShelf = (options: {
+/** Opens a store machine's result store. */
+export const openResultStore = (options: {
   readonly disk: string;
   readonly folder: string;
   readonly configuration: () => Configuration | undefined;
   readonly log: Context.Tag.Service<typeof Log>;
-}): Effect.Effect<Shelf, Fault, Disk> =>
+}): Effect.Effect<ResultStore, Fault, Disk> =>
   Effect.gen(function* () {
-    const index = makeShelfIndex();
+    const index = makeResultStoreIndex();
     const records = yield* openRecords('records', options.log, index.noted, index.gone);
     const checkpoints = yield* openCheckpointFiles(options.folder, options.log);
     const fences = table<ReadonlyMap<string, number>>(new Map());
--- a/src/store/shelfIndex.ts
+++ b/src/store/resultStoreIndex.ts
@@ -1,7 +1,7 @@
 import type { Record as Kept } from '../gen/foxdeck_pb.js';
 
 /** What a store looks up among its records, kept as they are found, written and removed. */
-export type ShelfIndex = {
+export type ResultStoreIndex = {
   readonly noted: (key: string, record: Kept) => void;
   readonly gone: (key: string) => void;
   /** Keys that start with a prefix, without a walk through all of history where the prefix names a lot. */
@@ -14,7 +14,7 @@
 const shardOf = (key: string): string => key.split('/')[1] ?? key;
 
 /** Makes a store's index. */
-export const makeShelfIndex = (): ShelfIndex => {
+export const makeResultStoreIndex = (): ResultStoreIndex => {
   const accepted = new Set<string>();
   const settled = new Set<string>();
   const shards = new Map<string, Set<string>>();
--- a/src/tests/stores.test.ts
+++ b/src/tests/stores.test.ts
@@ -11,7 +11,7 @@
 import { memoryLog } from '../shared/memoryLog.js';
 import { makeWorld } from '../sim/world.js';
 import { simDisk } from '../sim/simDisk.js';
-import { openShelf } from '../store/shelf.js';
+import { openResultStore } from '../store/resultStore.js';
 import { openCheckpointFiles } from '../store/checkpointFiles.js';
 import { brokenOnPurpose } from './brokenOnPurpose.js';
 import { offTests } from './offTests.js';
@@ -111,7 +111,7 @@
   });
   test('that are back after a power loss go again, once their lot is over', () => {
     const { disk, run } = bench(6);
-    const shelf = openShelf({ disk: 'd', folder: 'checkpoints', configuration: () => undefined, log });
+    const resultStore = openResultStore({ disk: 'd', folder: 'checkpoints', configuration: () => undefined, log });
     const [open, over] = ['seat/a|lot-open/0/0', 'seat/a|lot-over/0/0'];
     const texts_ = (key: string) => create(CheckpointSchema, { ...checkpoint(4, 0), key });
     run(
@@ -127,7 +127,7 @@
     disk.losePower();
     const back = run(Effect.map(openCheckpointFiles('checkpoints', log), (files) => files.keys()));
     expect(back).toEqual([open, over]);
-    const left = run(Effect.map(shelf, (opened) => opened.size()));
+    const left = run(Effect.map(resultStore, (opened) => opened.size()));
     expect(left).toMatchObject({ checkpoints: 1, damaged: 0 });
   });
   test('of a store that lacks the beginning are bounced, so that it is told whole', () => {
